--- a/bench/choice_bench.cc
+++ b/bench/choice_bench.cc
@@ -19,13 +19,13 @@
   endpoint::EndpointSettings settings;
   settings.services.push_back({.name = kService});
   EndpointTable table(settings, "instance", "zone-a", 1);
-  std::vector<platform::ListedInstance> listed;
+  std::vector<datastore::ListedInstance> listed;
   listed.reserve(static_cast<std::size_t>(endpoints));
   for (int number = 0; number < endpoints; ++number) {
     listed.push_back({.name = "runner-" + std::to_string(number), .zone = "zone-a"});
   }
   table.OnList(kService, listed);
-  for (const platform::ListedInstance& instance : listed) {
+  for (const datastore::ListedInstance& instance : listed) {
     table.OnReport(instance.name, {.slots = kSlots, .model = "model"}, {});
   }
   return table;
--- a/bench/platform_bench.cc
+++ b/bench/platform_bench.cc
@@ -2,20 +2,20 @@
 
 #include <string>
 
-#include "platform/internal/write_resolution.h"
+#include "datastore/internal/write_resolution.h"
 #include "sheet/sheet_parser.h"
 #include "standin/platform/memory_table.h"
 
 namespace {
 
+using lentilhead::datastore::TableError;
+using lentilhead::datastore::TableErrorKind;
+using lentilhead::datastore::TableRow;
+using lentilhead::datastore::internal::SendRead;
+using lentilhead::datastore::internal::WriteResolution;
+using lentilhead::datastore::internal::WriteStep;
 using lentilhead::framework::MonotonicTime;
 using lentilhead::framework::Reply;
-using lentilhead::platform::TableError;
-using lentilhead::platform::TableErrorKind;
-using lentilhead::platform::TableRow;
-using lentilhead::platform::internal::SendRead;
-using lentilhead::platform::internal::WriteResolution;
-using lentilhead::platform::internal::WriteStep;
 using lentilhead::standin::MemoryTable;
 
 constexpr MonotonicTime kStart{std::chrono::hours(1)};
--- a/bench/routing/routing_run.cc
+++ b/bench/routing/routing_run.cc
@@ -73,7 +73,7 @@
   settings.report_lag = kReportLag;
   const std::string name = "instance-" + std::to_string(this->tables.size());
   auto table = std::make_unique<EndpointTable>(settings, name, "zone-a", framework::Hash(name));
-  std::vector<platform::ListedInstance> listed;
+  std::vector<datastore::ListedInstance> listed;
   for (const Engine& engine : this->engines) {
     listed.push_back({.name = engine.name, .address = engine.name, .zone = "zone-a"});
   }
--- a/cmake/lentilhead_module.cmake
+++ b/cmake/lentilhead_module.cmake
@@ -1,6 +1,8 @@
 # Shared compile options of every target.
 add_library(lentilhead_options INTERFACE)
 target_compile_options(lentilhead_options INTERFACE -Wall -Wextra -Wpedantic -Wno-missing-field-initializers)
+# GCC 12 takes the frames of Asio's coroutines for a mismatch of new and delete.
+target_compile_options(lentilhead_options INTERFACE $<$<CXX_COMPILER_ID:GNU>:-Wno-mismatched-new-delete>)
 target_include_directories(lentilhead_options INTERFACE ${CMAKE_SOURCE_DIR}/src ${CMAKE_SOURCE_DIR})
 target_compile_definitions(lentilhead_options INTERFACE LENTILHEAD_VERSION="${PROJECT_VERSION}")
 if(LENTILHEAD_SANITIZE)
@@ -24,15 +26,26 @@
   <algorithm> <chrono> <functional> <map> <memory> <optional> <set> <string> <string_view>
   <variant> <vector> <unordered_map> <nlohmann/json.hpp> <libsoup/soup.h> <boost/leaf.hpp>)
 
+# The same for modules built on Asio and Beast, whose headers take long to read.
+add_library(lentilhead_precompiled_net OBJECT ${CMAKE_BINARY_DIR}/precompiled.cc)
+target_link_libraries(lentilhead_precompiled_net PUBLIC lentilhead_options)
+target_precompile_headers(lentilhead_precompiled_net PRIVATE
+  <algorithm> <chrono> <functional> <map> <memory> <optional> <set> <string> <string_view>
+  <variant> <vector> <nlohmann/json.hpp> <boost/asio.hpp> <boost/beast.hpp>)
+
 # Declares the library of a module, and its test program when tests/ has sources.
-#   lentilhead_module(NAME DEPS module...)
+#   lentilhead_module(NAME [NET] DEPS module...)   NET: built on Asio
 function(lentilhead_module name)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "NET" "" "DEPS" ${ARGN})
+  set(precompiled lentilhead_precompiled)
+  if(ARG_NET)
+    set(precompiled lentilhead_precompiled_net)
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc
        ${CMAKE_CURRENT_SOURCE_DIR}/internal/*.cc ${CMAKE_CURRENT_SOURCE_DIR}/types/*.cc)
   add_library(lentilhead_${name} STATIC ${sources})
   target_link_libraries(lentilhead_${name} PUBLIC lentilhead_options)
-  target_precompile_headers(lentilhead_${name} REUSE_FROM lentilhead_precompiled)
+  target_precompile_headers(lentilhead_${name} REUSE_FROM ${precompiled})
   foreach(dep ${ARG_DEPS})
     target_link_libraries(lentilhead_${name} PUBLIC lentilhead_${dep})
   endforeach()
@@ -40,17 +53,21 @@
   if(tests AND NOT LENTILHEAD_FUZZ)
     add_executable(${name}_tests ${tests})
     target_link_libraries(${name}_tests PRIVATE lentilhead_${name} rapidcheck)
-    target_precompile_headers(${name}_tests REUSE_FROM lentilhead_precompiled)
+    target_precompile_headers(${name}_tests REUSE_FROM ${precompiled})
     add_test(NAME ${name} COMMAND ${name}_tests)
   endif()
 endfunction()
 
-# Declares a program: lentilhead_program(NAME SOURCES file... DEPS module...)
+# Declares a program: lentilhead_program(NAME [NET] SOURCES file... DEPS module...)
 function(lentilhead_program name)
-  cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
+  cmake_parse_arguments(ARG "NET" "" "SOURCES;DEPS" ${ARGN})
+  set(precompiled lentilhead_precompiled)
+  if(ARG_NET)
+    set(precompiled lentilhead_precompiled_net)
+  endif()
   add_executable(${name} ${ARG_SOURCES})
   target_link_libraries(${name} PRIVATE lentilhead_options)
-  target_precompile_headers(${name} REUSE_FROM lentilhead_precompiled)
+  target_precompile_headers(${name} REUSE_FROM ${precompiled})
   foreach(dep ${ARG_DEPS})
     target_link_libraries(${name} PRIVATE lentilhead_${dep})
   endforeach()
--- a/fuzz/settings_reader_fuzz.cc
+++ b/fuzz/settings_reader_fuzz.cc
@@ -3,17 +3,17 @@
 #include <cstdlib>
 #include <string>
 
+#include "datastore/platform_settings.h"
 #include "framework/settings_reader.h"
-#include "platform/platform_settings.h"
 
 namespace {
 
+using lentilhead::datastore::PlatformSettings;
 using lentilhead::framework::Describe;
 using lentilhead::framework::Result;
 using lentilhead::framework::SettingsProblem;
 using lentilhead::framework::SettingsProblems;
 using lentilhead::framework::SettingsReader;
-using lentilhead::platform::PlatformSettings;
 
 void Require(bool condition) {
   if (!condition) {
--- a/src/apps/batch/batch_program.h
+++ b/src/apps/batch/batch_program.h
@@ -5,6 +5,11 @@
 
 #include "apps/common/instance_settings.h"
 #include "batch/batch_module.h"
+#include "datastore/instance_list_client.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
+#include "datastore/write_budget.h"
 #include "endpoint/endpoint_directory.h"
 #include "fleet/fleet_follower.h"
 #include "framework/http_client.h"
@@ -15,11 +20,6 @@
 #include "framework/metrics.h"
 #include "framework/result.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
-#include "platform/write_budget.h"
 #include "sheet/sheet_in_force.h"
 
 namespace lentilhead::apps {
@@ -53,11 +53,11 @@
   framework::HttpServer server;
   sheet::SheetInForce sheet;
   fleet::FleetFollower follower;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::InstanceListClient list;
-  platform::WriteBudget budget;
-  platform::ResolvedWriter writer;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::InstanceListClient list;
+  datastore::WriteBudget budget;
+  datastore::ResolvedWriter writer;
   endpoint::EndpointDirectory directory;
   batch::BatchModule module;
   framework::TimerSubscription view_tick;
--- a/src/apps/common/instance_settings.cc
+++ b/src/apps/common/instance_settings.cc
@@ -6,7 +6,7 @@
   framework::SettingsReader reader(file);
   InstanceSettings settings;
   settings.file = file;
-  settings.platform = platform::PlatformSettings::Read(reader);
+  settings.platform = datastore::PlatformSettings::Read(reader);
   settings.fleet = fleet::FleetSettings::Read(reader);
   settings.endpoint = endpoint::EndpointSettings::Read(reader);
   settings.online = online::OnlineSettings::Read(reader);
--- a/src/apps/common/instance_settings.h
+++ b/src/apps/common/instance_settings.h
@@ -4,12 +4,12 @@
 
 #include "batch/batch_settings.h"
 #include "control/control_settings.h"
+#include "datastore/platform_settings.h"
 #include "endpoint/endpoint_settings.h"
 #include "fleet/fleet_settings.h"
 #include "framework/result.h"
 #include "framework/settings_reader.h"
 #include "online/online_settings.h"
-#include "platform/platform_settings.h"
 
 namespace lentilhead::apps {
 
@@ -21,7 +21,7 @@
 
   std::string file;  ///< The file that was read.
 
-  platform::PlatformSettings platform;
+  datastore::PlatformSettings platform;
   fleet::FleetSettings fleet;
   endpoint::EndpointSettings endpoint;
   online::OnlineSettings online;
--- a/src/apps/controller/controller.h
+++ b/src/apps/controller/controller.h
@@ -5,15 +5,15 @@
 
 #include "apps/common/instance_settings.h"
 #include "control/control_module.h"
+#include "datastore/instance_list_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "fleet/fleet_follower.h"
 #include "framework/http_client.h"
 #include "framework/http_router.h"
 #include "framework/http_server.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 
 namespace lentilhead::apps {
@@ -38,10 +38,10 @@
   framework::HttpRouter router;
   framework::HttpServer server;
   framework::HttpClient http;
-  platform::TableClient table;
-  platform::WriteBudget budget;
-  platform::ResolvedWriter writer;
-  platform::InstanceListClient list;
+  datastore::TableClient table;
+  datastore::WriteBudget budget;
+  datastore::ResolvedWriter writer;
+  datastore::InstanceListClient list;
   sheet::SheetInForce sheet;
   fleet::FleetFollower follower;
   control::ControlModule module;
--- a/src/apps/entry/control_task.cc
+++ b/src/apps/entry/control_task.cc
@@ -6,6 +6,10 @@
 #include <utility>
 
 #include "control/operator_api.h"
+#include "datastore/instance_list_client.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "fleet/fleet_module.h"
 #include "framework/hash.h"
 #include "framework/http_client.h"
@@ -14,10 +18,6 @@
 #include "framework/http_server.h"
 #include "framework/json_rpc_server.h"
 #include "online/types/refusal.h"
-#include "platform/instance_list_client.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_store.h"
 
 namespace lentilhead::apps {
@@ -67,11 +67,11 @@
   framework::Metrics& metrics;
   std::function<void(ProgramMessage)> report;
   framework::HttpClient http;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::WriteBudget budget;
-  platform::ResolvedWriter writer;
-  platform::InstanceListClient list;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::WriteBudget budget;
+  datastore::ResolvedWriter writer;
+  datastore::InstanceListClient list;
   sheet::SheetStore sheets;
   sheet::SheetInForce sheet;
   fleet::FleetModule fleet;
--- a/src/apps/entry/worker_state.h
+++ b/src/apps/entry/worker_state.h
@@ -7,6 +7,10 @@
 #include "apps/common/instance_settings.h"
 #include "apps/entry/types/worker_message.h"
 #include "batch/job_api.h"
+#include "datastore/instance_list_client.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_directory.h"
 #include "framework/http_client.h"
 #include "framework/http_router.h"
@@ -14,10 +18,6 @@
 #include "framework/metrics.h"
 #include "framework/task.h"
 #include "online/online_module.h"
-#include "platform/instance_list_client.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 
 namespace lentilhead::apps {
@@ -51,11 +51,11 @@
   std::function<void()> on_ready;
   std::function<void(std::size_t)> on_drained;
   framework::HttpClient http;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::WriteBudget budget;
-  platform::ResolvedWriter writer;
-  platform::InstanceListClient list;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::WriteBudget budget;
+  datastore::ResolvedWriter writer;
+  datastore::InstanceListClient list;
   sheet::SheetInForce sheet;
   endpoint::EndpointDirectory directory;
   online::OnlineModule online;
--- /dev/null
+++ b/src/apps/node/node_program.cc
@@ -0,0 +1,389 @@
+#include "apps/node/node_program.h"
+
+#include <unistd.h>
+
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <sstream>
+
+#include "gateway/internal/answers.h"
+#include "jobs/internal/job_rows.h"
+#include "net/http_caller.h"
+#include "net/log_line.h"
+#include "net/log_sink.h"
+#include "net/retry_pause.h"
+#include "platform/job_codec.h"
+#include "platform/request_codec.h"
+#include "platform/settings_codec.h"
+#include "platform/tables.h"
+
+namespace lentilhead::node {
+
+namespace {
+
+using net::asio::awaitable;
+using net::http::status;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kConfigPause{100};
+constexpr milliseconds kEndpointPause{400};  // heartbeats change the table all the time
+constexpr milliseconds kNodePause{900};
+constexpr milliseconds kNodeWait{3000};
+constexpr milliseconds kClaimPause{250};
+constexpr milliseconds kLapseGrace{2300};  // entries that lapsed in an outage are back by then
+constexpr milliseconds kMaintenancePeriod{100};
+constexpr milliseconds kStandstill{700};  // a pause of the process beyond usual scheduling
+constexpr milliseconds kRelayPeriod{200};
+constexpr milliseconds kRelayTimeout{600};
+constexpr milliseconds kStoreSilence{700};     // then the list of endpoints may come from peers
+constexpr milliseconds kListenerLinger{3000};  // callers' connections still arrive for so long
+constexpr milliseconds kExitMargin{1200};      // before the end of the stop's grace
+constexpr milliseconds kLeavePoll{50};
+constexpr int kSettingsCheckTicks = 10;  // maintenance periods between looks at the file
+
+std::chrono::nanoseconds BootTime() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+}
+
+std::string NewIncarnation(const std::string& name) {
+  return name + "#" + std::to_string(BootTime().count()) + "-" + std::to_string(::getpid());
+}
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+net::tcp::endpoint PeerListener(const gateway::NodeSettings& settings) {
+  return settings.peers.value_or(
+      net::tcp::endpoint(settings.callers.address(), settings.load_port));
+}
+
+}  // namespace
+
+NodeProgram::NodeProgram(Options options, gateway::NodeSettings settings)
+    : options(std::move(options)),
+      settings(std::move(settings)),
+      executor(this->context.get_executor()),
+      gateway(this->executor, this->settings.zone),
+      store(this->executor, this->settings.store),
+      view(this->gateway),
+      peers(this->gateway, this->view, {this->settings.callers.address(), this->settings.load_port},
+            this->settings.name, NewIncarnation(this->settings.name)),
+      presence(this->gateway, this->store, this->peers,
+               this->settings.callers.address().to_string()),
+      job_store(this->store, this->settings.row_bytes),
+      job_service(this->gateway, this->job_store, this->peers, this->presence,
+                  this->settings.job_retention),
+      job_api(this->gateway, this->job_store, this->job_service, this->peers.Incarnation()),
+      gate(
+          this->gateway,
+          [this](gateway::InferenceRequest request, gateway::RequestFacts facts,
+                 gateway::CancelScope&) {
+            return this->job_api.Handle(std::move(request), std::move(facts));
+          },
+          platform::IsJobCall),
+      config_follower(this->MakeConfigFollower()),
+      endpoint_follower(this->MakeEndpointFollower()),
+      node_follower(this->MakeNodeFollower()),
+      claim_follower(this->MakeClaimFollower()),
+      callers(this->executor),
+      readiness(this->executor, "readiness",
+                [this](const net::Request& request, const net::tcp::endpoint&) {
+                  return this->AnswerReadiness(request);
+                }),
+      peer_views(this->executor, "peers",
+                 [this](const net::Request&, const net::tcp::endpoint& caller) {
+                   this->peers.AddCandidate(caller.address());
+                   return this->AnswerPeer();
+                 }),
+      metrics(this->executor, "metrics",
+              [this](const net::Request& request, const net::tcp::endpoint&) {
+                return this->AnswerMetrics(request);
+              }),
+      signals(this->executor, SIGTERM, SIGINT, SIGHUP) {}
+
+rowstore::TableFollower NodeProgram::MakeConfigFollower() {
+  const auto adopt = [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
+    for (const rowstore::Row& row : rows) {
+      if (row.key.key == platform::kConfigKey && !row.removed) {
+        this->view.AdoptConfig(row.value, "store");
+      }
+    }
+  };
+  return {this->executor, this->store, {platform::kConfigTable, {""}, kConfigPause}, adopt, adopt};
+}
+
+rowstore::TableFollower NodeProgram::MakeEndpointFollower() {
+  return {this->executor,
+          this->store,
+          {platform::kEndpointTable, {""}, kEndpointPause},
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+            this->view.ReplaceEndpoints(rows, version, this->KeepMissingUntil(), "store");
+          },
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+            this->view.ChangeEndpoints(rows, version, this->KeepMissingUntil());
+          }};
+}
+
+rowstore::TableFollower NodeProgram::MakeNodeFollower() {
+  const auto note = [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
+    this->presence.Note(rows);
+  };
+  return {this->executor,
+          this->store,
+          {peers::NodePresence::kTable, {""}, kNodePause, kNodeWait},
+          note,
+          note};
+}
+
+rowstore::TableFollower NodeProgram::MakeClaimFollower() {
+  return {this->executor,
+          this->store,
+          {jobs::internal::kClaimTable, jobs::internal::JobParts(), kClaimPause},
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
+            this->job_service.ReplaceClaims(rows);
+          },
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
+            this->job_service.ChangeClaims(rows);
+          }};
+}
+
+net::SteadyTime NodeProgram::KeepMissingUntil() const {
+  const net::SteadyTime lapse_end = this->endpoint_follower.ReachableSince() + kLapseGrace;
+  return std::max(net::Now(), lapse_end);
+}
+
+void NodeProgram::Spawn(awaitable<void> task) {
+  net::asio::co_spawn(this->executor, std::move(task), net::asio::detached);
+}
+
+bool NodeProgram::OpenListeners() {
+  const net::tcp::endpoint metrics_address(this->settings.callers.address(),
+                                           this->options.metrics_port);
+  const std::pair<const char*, net::ErrorCode> outcomes[] = {
+      {"callers", OpenListener(this->callers, this->settings.callers)},
+      {"readiness", this->readiness.Listen(this->settings.readiness)},
+      {"peers", this->peer_views.Listen(PeerListener(this->settings))},
+      {"metrics", this->metrics.Listen(metrics_address)}};
+  bool usable = true;
+  for (const auto& [name, error] : outcomes) {
+    if (error) {
+      net::LogLine("listen_failed").With("listener", name).With("error", error.message());
+      usable = false;
+    }
+  }
+  return usable;
+}
+
+void NodeProgram::SpawnTasks() {
+  for (const net::tcp::endpoint& seed : this->settings.seeds) {
+    this->peers.AddCandidate(seed.address());
+  }
+  this->gateway.admission.OnLoadChange([this] {
+    this->peers.NoteLoadChange();
+    net::asio::post(this->executor, [this] { this->gateway.admission.Dispatch(); });
+  });
+  this->Spawn(this->config_follower.Run());
+  this->Spawn(this->endpoint_follower.Run());
+  this->Spawn(this->node_follower.Run());
+  this->Spawn(this->claim_follower.Run());
+  this->Spawn(this->presence.Announce([this] { return this->job_service.OwnedCount() > 0; }));
+  this->Spawn(this->peers.Send());
+  this->Spawn(this->peers.Receive());
+  this->Spawn(this->Relay());
+  this->Spawn(this->Maintain());
+  this->Spawn(this->AwaitSignals());
+  this->Spawn(this->job_service.Run());
+  this->Spawn(this->readiness.Run());
+  this->Spawn(this->peer_views.Run());
+  this->Spawn(this->metrics.Run());
+  this->Spawn(this->gate.Accept(this->callers));
+}
+
+int NodeProgram::Run() {
+  ::signal(SIGPIPE, SIG_IGN);
+  net::LogSink::OfProcess().SetBounds({this->options.log_lines_per_second});
+  net::LogLine("start")
+      .With("node", this->settings.name)
+      .With("start", this->peers.Incarnation())
+      .With("zone", this->settings.zone)
+      .With("version", LENTILHEAD_VERSION);
+  this->settings_text = ReadFile(this->options.settings_path);
+  if (!this->OpenListeners()) {
+    net::LogSink::OfProcess().Flush();
+    return 1;
+  }
+  this->SpawnTasks();
+  this->context.run();
+  net::LogLine("stop")
+      .With("node", this->settings.name)
+      .With("at_work", this->gate.RequestsAtWork());
+  net::LogSink::OfProcess().Flush();
+  return 0;
+}
+
+bool NodeProgram::IsReady() const {
+  return this->gateway.routes.Config() != nullptr && this->gateway.endpoints_known &&
+         !this->gateway.stopping;
+}
+
+net::Response NodeProgram::AnswerReadiness(const net::Request& request) const {
+  const std::string path(request.target().substr(0, request.target().find('?')));
+  if (!platform::IsReadinessPath(path)) {
+    return gateway::MakeFailure(status::not_found, "no_such_call");
+  }
+  return this->IsReady() ? net::Response(status::ok, 11)
+                         : gateway::MakeFailure(status::service_unavailable, "not_ready");
+}
+
+net::Response NodeProgram::AnswerPeer() const {
+  net::Response response(status::ok, 11);
+  response.set(net::http::field::content_type, "application/msgpack");
+  response.body() = this->view.Encode();
+  return response;
+}
+
+net::Response NodeProgram::AnswerMetrics(const net::Request& request) const {
+  if (request.method() != net::http::verb::get) {
+    return gateway::MakeFailure(status::method_not_allowed, "get_expected");
+  }
+  net::Response response(status::ok, 11);
+  response.set(net::http::field::content_type, "text/plain; version=0.0.4");
+  response.body() = this->gateway.metrics.Render();
+  return response;
+}
+
+awaitable<void> NodeProgram::AwaitSignals() {
+  while (true) {
+    const auto [error, number] = co_await this->signals.async_wait(net::kAwaitWithError);
+    if (error) {
+      co_return;
+    }
+    if (number == SIGHUP) {
+      this->Reload("signal");
+      continue;
+    }
+    if (this->gateway.stopping) {
+      net::LogLine("stop_again").With("at_work", this->gate.RequestsAtWork());
+      continue;
+    }
+    this->Spawn(this->Leave());
+  }
+}
+
+void NodeProgram::Reload(std::string_view cause) {
+  const std::string text = ReadFile(this->options.settings_path);
+  const bool changed = text != this->settings_text;
+  platform::SettingsOutcome outcome = platform::DecodeSettings(text);
+  if (const auto* errors = std::get_if<std::vector<platform::DecodeError>>(&outcome)) {
+    net::LogLine("settings_unreadable")
+        .With("cause", cause)
+        .With("field", errors->front().field)
+        .With("reason", errors->front().reason);
+    return;
+  }
+  const auto& fresh = std::get<gateway::NodeSettings>(outcome);
+  this->settings_text = text;
+  this->settings.seeds = fresh.seeds;
+  this->settings.store = fresh.store;
+  this->settings.stop_grace = fresh.stop_grace;
+  this->store.SetAddress(fresh.store);
+  for (const net::tcp::endpoint& seed : fresh.seeds) {
+    this->peers.AddCandidate(seed.address());
+  }
+  net::LogLine("reload").With("cause", cause).With("changed", changed);
+}
+
+awaitable<void> NodeProgram::Leave() {
+  const net::SteadyTime start = net::Now();
+  this->gateway.stopping = true;
+  this->peers.NoteLoadChange();
+  net::LogLine("leaving")
+      .With("at_work", this->gate.RequestsAtWork())
+      .With("sessions", this->gate.OpenSessions())
+      .With("jobs", this->job_service.OwnedCount());
+  co_await this->job_service.HandOver();
+  const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
+  net::asio::steady_timer timer(this->executor);
+  while (net::Now() < end) {
+    const bool lingered = net::Now() - start >= kListenerLinger;
+    if (lingered) {
+      this->gate.CloseIdle();
+      if (this->gate.RequestsAtWork() == 0 && this->gate.OpenSessions() == 0) {
+        break;
+      }
+    }
+    timer.expires_after(kLeavePoll);
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+  this->context.stop();
+}
+
+void NodeProgram::NoteStandstill() {
+  this->peers.NoteStandstill();
+  this->presence.NoteStandstill();
+}
+
+awaitable<void> NodeProgram::Maintain() {
+  net::asio::steady_timer timer(this->executor);
+  std::chrono::nanoseconds last = BootTime();
+  for (int ticks = 1;; ++ticks) {
+    timer.expires_after(kMaintenancePeriod);
+    co_await timer.async_wait(net::kAwaitWithError);
+    const std::chrono::nanoseconds now = BootTime();
+    if (now - last > kStandstill) {
+      net::LogLine("standstill").With("ms", net::ToMilliseconds(now - last).count());
+      this->NoteStandstill();
+    }
+    last = now;
+    this->gateway.pool.Prune(net::Now());
+    this->gateway.book.Prune(net::Now());
+    this->gateway.admission.Dispatch();
+    if (ticks % kSettingsCheckTicks == 0 &&
+        ReadFile(this->options.settings_path) != this->settings_text) {
+      this->Reload("file");
+    }
+    net::LogSink& sink = net::LogSink::OfProcess();
+    if (const std::uint64_t lost = sink.TakeUnreported(); lost > 0) {
+      net::LogLine("log_lines_suppressed").With("count", lost).With("total", sink.Suppressed());
+    }
+    sink.Flush();
+  }
+}
+
+awaitable<void> NodeProgram::Relay() {
+  net::asio::steady_timer timer(this->executor);
+  while (true) {
+    timer.expires_after(kRelayPeriod);
+    co_await timer.async_wait(net::kAwaitWithError);
+    const bool store_silent =
+        net::Now() - this->endpoint_follower.LastAnswer() > kStoreSilence + kEndpointPause &&
+        !this->endpoint_follower.IsReachable();
+    net::asio::ip::address peer = this->peers.PeerAhead(store_silent);
+    if (peer.is_unspecified() && !this->IsReady() && !this->gateway.stopping) {
+      peer = this->peers.AnyPeer();
+    }
+    if (!peer.is_unspecified()) {
+      co_await this->FetchView(peer, store_silent || !this->gateway.endpoints_known);
+    }
+  }
+}
+
+awaitable<void> NodeProgram::FetchView(net::asio::ip::address peer, bool endpoints_too) {
+  net::HttpCaller caller(this->executor, {peer, PeerListener(this->settings).port()});
+  net::Request request(net::http::verb::get, "/view", 11);
+  net::HttpCaller::Outcome outcome = co_await caller.Call(std::move(request), kRelayTimeout);
+  const auto* response = std::get_if<net::Response>(&outcome);
+  if (response == nullptr || response->result() != status::ok) {
+    co_return;
+  }
+  this->view.AdoptEncoded(response->body(), endpoints_too);
+}
+
+}  // namespace lentilhead::node
--- /dev/null
+++ b/src/apps/node/node_program.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "apps/node/options.h"
+#include "apps/node/small_server.h"
+#include "gateway/caller_gate.h"
+#include "gateway/gateway.h"
+#include "gateway/types/node_settings.h"
+#include "jobs/job_api.h"
+#include "jobs/job_service.h"
+#include "peers/cluster_view.h"
+#include "peers/node_presence.h"
+#include "peers/peer_exchange.h"
+#include "rowstore/table_follower.h"
+
+namespace lentilhead::node {
+
+/// One node: callers' listener, readiness, peers, batch jobs and metrics on one event loop.
+class NodeProgram {
+ public:
+  NodeProgram(Options options, gateway::NodeSettings settings);
+
+  /// Runs until the node has left. @return exit code of the process.
+  int Run();
+
+ private:
+  [[nodiscard]] bool OpenListeners();
+  void SpawnTasks();
+  void Spawn(net::asio::awaitable<void> task);
+  [[nodiscard]] rowstore::TableFollower MakeConfigFollower();
+  [[nodiscard]] rowstore::TableFollower MakeEndpointFollower();
+  [[nodiscard]] rowstore::TableFollower MakeNodeFollower();
+  [[nodiscard]] rowstore::TableFollower MakeClaimFollower();
+  [[nodiscard]] net::SteadyTime KeepMissingUntil() const;
+  [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] net::Response AnswerReadiness(const net::Request& request) const;
+  [[nodiscard]] net::Response AnswerPeer() const;
+  [[nodiscard]] net::Response AnswerMetrics(const net::Request& request) const;
+  net::asio::awaitable<void> AwaitSignals();
+  net::asio::awaitable<void> Leave();
+  net::asio::awaitable<void> Maintain();
+  net::asio::awaitable<void> Relay();
+  net::asio::awaitable<void> FetchView(net::asio::ip::address peer, bool endpoints_too);
+  void Reload(std::string_view cause);
+  void NoteStandstill();
+
+  Options options;
+  gateway::NodeSettings settings;
+  net::asio::io_context context{1};
+  net::asio::any_io_executor executor;
+  gateway::Gateway gateway;
+  rowstore::RowStore store;
+  peers::ClusterView view;
+  peers::PeerExchange peers;
+  peers::NodePresence presence;
+  jobs::JobStore job_store;
+  jobs::JobService job_service;
+  jobs::JobApi job_api;
+  gateway::CallerGate gate;
+  rowstore::TableFollower config_follower;
+  rowstore::TableFollower endpoint_follower;
+  rowstore::TableFollower node_follower;
+  rowstore::TableFollower claim_follower;
+  net::tcp::acceptor callers;
+  SmallServer readiness;
+  SmallServer peer_views;
+  SmallServer metrics;
+  net::asio::signal_set signals;
+  std::string settings_text;
+};
+
+}  // namespace lentilhead::node
--- /dev/null
+++ b/src/apps/node/small_server.cc
@@ -0,0 +1,85 @@
+#include "apps/node/small_server.h"
+
+#include "net/log_line.h"
+#include "net/socket_options.h"
+
+namespace lentilhead::node {
+
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kIdleLimit{5000};
+constexpr milliseconds kSilenceLimit{2000};
+constexpr milliseconds kAcceptPause{20};
+constexpr int kBacklog = 1024;  // a burst of new connections after a machine's return
+
+}  // namespace
+
+net::ErrorCode OpenListener(net::tcp::acceptor& acceptor, const net::tcp::endpoint& address) {
+  net::ErrorCode error;
+  acceptor.open(address.protocol(), error);
+  if (!error) {
+    acceptor.set_option(net::asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor.bind(address, error);
+  }
+  if (!error) {
+    acceptor.listen(kBacklog, error);
+  }
+  return error;
+}
+
+SmallServer::SmallServer(const net::asio::any_io_executor& executor, std::string name,
+                         Handler handler)
+    : executor(executor), name(std::move(name)), handler(std::move(handler)), acceptor(executor) {}
+
+net::ErrorCode SmallServer::Listen(const net::tcp::endpoint& address) {
+  return OpenListener(this->acceptor, address);
+}
+
+awaitable<void> SmallServer::Run() {
+  while (true) {
+    auto [error, socket] = co_await this->acceptor.async_accept(net::kAwaitWithError);
+    if (error == net::asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      net::LogLine("accept_failed").With("server", this->name).With("error", error.message());
+      net::asio::steady_timer pause(this->executor, kAcceptPause);
+      co_await pause.async_wait(net::kAwaitWithError);
+      continue;
+    }
+    net::asio::co_spawn(this->executor, this->Serve(std::move(socket)), net::asio::detached);
+  }
+}
+
+awaitable<void> SmallServer::Serve(net::tcp::socket socket) {
+  net::SetSocketOptions(socket, kSilenceLimit);
+  net::ErrorCode unknown;
+  const net::tcp::endpoint caller = socket.remote_endpoint(unknown);
+  net::beast::tcp_stream stream(std::move(socket));
+  net::beast::flat_buffer buffer;
+  bool keep_alive = true;
+  while (keep_alive) {
+    net::Request request;
+    stream.expires_after(kIdleLimit);
+    const auto [read_error, read] =
+        co_await net::http::async_read(stream, buffer, request, net::kAwaitWithError);
+    if (read_error) {
+      break;
+    }
+    net::Response response = this->handler(request, caller);
+    response.version(11);
+    keep_alive = request.keep_alive();
+    response.keep_alive(keep_alive);
+    response.prepare_payload();
+    const auto [write_error, written] =
+        co_await net::http::async_write(stream, response, net::kAwaitWithError);
+    keep_alive = keep_alive && !write_error;
+  }
+}
+
+}  // namespace lentilhead::node
--- /dev/null
+++ b/src/apps/node/small_server.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <functional>
+
+#include "net/http_types.h"
+
+namespace lentilhead::node {
+
+/// Answers small calls that need no waiting, such as readiness and metrics.
+class SmallServer {
+ public:
+  using Handler =
+      std::function<net::Response(const net::Request& request, const net::tcp::endpoint& caller)>;
+
+  /// @param name name in logs.
+  SmallServer(const net::asio::any_io_executor& executor, std::string name, Handler handler);
+
+  /// Begins to listen. @return the reason when the address cannot be used.
+  [[nodiscard]] net::ErrorCode Listen(const net::tcp::endpoint& address);
+
+  /// Accepts connections until the event loop stops.
+  net::asio::awaitable<void> Run();
+
+ private:
+  net::asio::awaitable<void> Serve(net::tcp::socket socket);
+
+  net::asio::any_io_executor executor;
+  std::string name;
+  Handler handler;
+  net::tcp::acceptor acceptor;
+};
+
+/// Opens a listener. @return the reason when the address cannot be used.
+[[nodiscard]] net::ErrorCode OpenListener(net::tcp::acceptor& acceptor,
+                                          const net::tcp::endpoint& address);
+
+}  // namespace lentilhead::node
--- a/src/batch/internal/api_parts.cc
+++ b/src/batch/internal/api_parts.cc
@@ -57,7 +57,7 @@
   return status.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-std::optional<JobRecord> ReadJobRow(const platform::TableRow& row) {
+std::optional<JobRecord> ReadJobRow(const datastore::TableRow& row) {
   return boost::leaf::try_handle_all(
       [&]() -> framework::Result<std::optional<JobRecord>> {
         BOOST_LEAF_AUTO(record, JobRecord::FromJson(row.value));
--- a/src/batch/internal/api_parts.h
+++ b/src/batch/internal/api_parts.h
@@ -5,13 +5,13 @@
 
 #include "batch/batch_settings.h"
 #include "batch/types/job_record.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_settings.h"
 #include "framework/http_error.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::batch::internal {
 
@@ -19,9 +19,9 @@
 struct ApiParts {
   const BatchSettings& settings;
   const endpoint::EndpointSettings& services;
-  platform::TableClient& table;
-  platform::ObjectStoreClient& objects;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ObjectStoreClient& objects;
+  datastore::ResolvedWriter& writer;
   framework::TimerService& timers;
   framework::Metrics& metrics;
 };
@@ -40,6 +40,6 @@
 std::string RenderStatus(const JobRecord& record);
 
 /// Reads a job row; no value if it cannot be read.
-std::optional<JobRecord> ReadJobRow(const platform::TableRow& row);
+std::optional<JobRecord> ReadJobRow(const datastore::TableRow& row);
 
 }  // namespace lentilhead::batch::internal
--- a/src/batch/internal/batch_parts.h
+++ b/src/batch/internal/batch_parts.h
@@ -4,6 +4,9 @@
 #include <string>
 
 #include "batch/batch_settings.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_directory.h"
 #include "endpoint/endpoint_settings.h"
 #include "fleet/types/fleet_view.h"
@@ -11,9 +14,6 @@
 #include "framework/json_rpc_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::batch::internal {
 
@@ -23,9 +23,9 @@
   const endpoint::EndpointSettings& services;
   std::string instance;  ///< Name of this instance.
   std::string run;       ///< `instance/run`, unique to this process.
-  platform::TableClient& table;
-  platform::ObjectStoreClient& objects;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ObjectStoreClient& objects;
+  datastore::ResolvedWriter& writer;
   endpoint::EndpointDirectory& directory;
   framework::HttpClient& http;
   framework::JsonRpcClient& rpc;
--- a/src/batch/internal/garbage_collector.cc
+++ b/src/batch/internal/garbage_collector.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-using platform::TableErrorKind;
+using datastore::TableErrorKind;
 
 constexpr std::size_t kDeletesAtOnce = 4;
 constexpr std::chrono::milliseconds kWritePatience{5'000};
@@ -23,7 +23,7 @@
   GarbageCollector::Done done;
 };
 
-void Continue(platform::ObjectStoreClient& objects, const std::shared_ptr<Deletion>& deletion) {
+void Continue(datastore::ObjectStoreClient& objects, const std::shared_ptr<Deletion>& deletion) {
   while (deletion->running < kDeletesAtOnce && deletion->next < deletion->keys.size()) {
     deletion->running += 1;
     const std::string& key = deletion->keys[deletion->next++];
@@ -86,7 +86,7 @@
     }
   }
   this->parts.writer.Write(
-      ended.ToRow(shard), platform::WritePriority::kProgress, kWritePatience,
+      ended.ToRow(shard), datastore::WritePriority::kProgress, kWritePatience,
       [this, entries, keys = std::move(keys), done = std::move(done)](auto reply) {
         if (!reply && reply.Error().kind != TableErrorKind::kConflict) {
           done(false);
@@ -154,7 +154,7 @@
                         });
 }
 
-void GarbageCollector::RemoveResults(const platform::TableRow& row, const EndedEntry& entry,
+void GarbageCollector::RemoveResults(const datastore::TableRow& row, const EndedEntry& entry,
                                      Done done) {
   std::vector<std::string> keys;
   boost::leaf::try_handle_all(
@@ -178,7 +178,7 @@
   });
 }
 
-void GarbageCollector::RemoveRows(const platform::TableRow& row, const EndedEntry& entry,
+void GarbageCollector::RemoveRows(const datastore::TableRow& row, const EndedEntry& entry,
                                   const Done& done) {
   const auto remove_entry = [this, entry, done] {
     const int shard = ShardOf(entry.job, this->parts.settings.shards);
--- a/src/batch/internal/garbage_collector.h
+++ b/src/batch/internal/garbage_collector.h
@@ -31,8 +31,8 @@
 
  private:
   void RemoveEntries(std::vector<OpenEntry> entries, Done done);
-  void RemoveResults(const platform::TableRow& row, const EndedEntry& entry, Done done);
-  void RemoveRows(const platform::TableRow& row, const EndedEntry& entry, const Done& done);
+  void RemoveResults(const datastore::TableRow& row, const EndedEntry& entry, Done done);
+  void RemoveRows(const datastore::TableRow& row, const EndedEntry& entry, const Done& done);
 
   /// Deletes objects a few at a time.
   void DeleteObjects(std::vector<std::string> keys, Done done);
--- a/src/batch/internal/job_api.cc
+++ b/src/batch/internal/job_api.cc
@@ -14,8 +14,8 @@
 
 namespace {
 
+using datastore::TableErrorKind;
 using framework::HttpExchange;
-using platform::TableErrorKind;
 
 constexpr const char* kJobsPath = "/v1/jobs";
 constexpr const char* kJobPath = "/v1/jobs/";
@@ -152,7 +152,7 @@
         }
         std::string body = R"({"object":"list","data":[)";
         const char* separator = "";
-        for (const platform::TableRow& row : reply.Value()) {
+        for (const datastore::TableRow& row : reply.Value()) {
           const std::optional<JobRecord> record = internal::ReadJobRow(row);
           if (!record || record->caller != caller) {
             continue;
@@ -216,8 +216,8 @@
 }
 
 JobApi::JobApi(const BatchSettings& settings, const endpoint::EndpointSettings& services,
-               platform::TableClient& table, platform::ObjectStoreClient& objects,
-               platform::ResolvedWriter& writer, framework::TimerService& timers,
+               datastore::TableClient& table, datastore::ObjectStoreClient& objects,
+               datastore::ResolvedWriter& writer, framework::TimerService& timers,
                framework::Metrics& metrics)
     : state(std::make_shared<State>(
           internal::ApiParts{settings, services, table, objects, writer, timers, metrics})) {}
--- a/src/batch/internal/job_cancel.cc
+++ b/src/batch/internal/job_cancel.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-using platform::TableErrorKind;
+using datastore::TableErrorKind;
 
 /// A busy owner commits about once a commit period, so a few attempts win against it.
 constexpr int kMostAttempts = 8;
@@ -38,7 +38,7 @@
                         });
 }
 
-void JobCancel::OnRow(const platform::TableRow& row) {
+void JobCancel::OnRow(const datastore::TableRow& row) {
   std::optional<JobRecord> record = ReadJobRow(row);
   if (!record) {
     RefuseUnavailable(this->parts, *this->exchange, "not_run");
@@ -56,8 +56,8 @@
   }
   record->state = JobState::kCancelled;
   record->ended = this->parts.timers.WallNow();
-  platform::TableRow changed{row.partition, row.key, row.etag, record->ToJson()};
-  this->parts.writer.Write(std::move(changed), platform::WritePriority::kIntent, kWritePatience,
+  datastore::TableRow changed{row.partition, row.key, row.etag, record->ToJson()};
+  this->parts.writer.Write(std::move(changed), datastore::WritePriority::kIntent, kWritePatience,
                            [self = this->shared_from_this(), cancelled = *record](auto reply) {
                              if (reply) {
                                self->OnWritten(cancelled);
@@ -80,7 +80,7 @@
   notice.caller = this->caller;
   notice.created = this->parts.timers.WallNow();
   const int shard = ShardOf(this->job, this->parts.settings.shards);
-  this->parts.writer.Write(notice.ToRow(shard), platform::WritePriority::kIntent, kNoticePatience,
+  this->parts.writer.Write(notice.ToRow(shard), datastore::WritePriority::kIntent, kNoticePatience,
                            [](const auto& /*reply*/) {});
 }
 
--- a/src/batch/internal/job_cancel.h
+++ b/src/batch/internal/job_cancel.h
@@ -18,9 +18,9 @@
   void Start();
 
  private:
-  void OnRow(const platform::TableRow& row);
+  void OnRow(const datastore::TableRow& row);
   void OnWritten(const JobRecord& record);
-  void Retry(platform::TableErrorKind error);
+  void Retry(datastore::TableErrorKind error);
 
   ApiParts& parts;
   std::shared_ptr<framework::HttpExchange> exchange;
--- a/src/batch/internal/job_owner.h
+++ b/src/batch/internal/job_owner.h
@@ -39,9 +39,9 @@
 
  private:
   void Scan(int shard);
-  void OnScanned(int shard, const std::vector<platform::TableRow>& rows);
+  void OnScanned(int shard, const std::vector<datastore::TableRow>& rows);
   void Visit(int shard, const std::string& job, std::vector<OpenEntry> entries);
-  void OnJobRow(const std::string& job, const platform::TableRow& row,
+  void OnJobRow(const std::string& job, const datastore::TableRow& row,
                 const std::vector<OpenEntry>& entries);
   void Claim(const JobRecord& stored, const std::string& etag);
   void OnClaimed(const JobRecord& stored, const JobRecord& claimed, const std::string& etag);
--- a/src/batch/internal/job_owner_scan.cc
+++ b/src/batch/internal/job_owner_scan.cc
@@ -9,15 +9,15 @@
 
 namespace {
 
+using datastore::TableErrorKind;
 using framework::LogEvent;
 using framework::Severity;
-using platform::TableErrorKind;
 
 constexpr std::size_t kVisitsAtOnce = 16;
 constexpr std::chrono::milliseconds kClaimPatience{2'000};
 constexpr std::chrono::milliseconds kRevisitPause{1'000};
 
-std::optional<JobRecord> ReadRecord(const platform::TableRow& row) {
+std::optional<JobRecord> ReadRecord(const datastore::TableRow& row) {
   return boost::leaf::try_handle_all(
       [&]() -> framework::Result<std::optional<JobRecord>> {
         BOOST_LEAF_AUTO(record, JobRecord::FromJson(row.value));
@@ -39,9 +39,9 @@
   });
 }
 
-void JobOwner::OnScanned(int shard, const std::vector<platform::TableRow>& rows) {
+void JobOwner::OnScanned(int shard, const std::vector<datastore::TableRow>& rows) {
   std::map<std::string, std::vector<OpenEntry>> by_job;
-  for (const platform::TableRow& row : rows) {
+  for (const datastore::TableRow& row : rows) {
     const std::optional<OpenEntry> entry = OpenEntry::FromRow(row);
     if (entry) {
       by_job[entry->job].push_back(*entry);
@@ -83,7 +83,7 @@
   });
 }
 
-void JobOwner::OnJobRow(const std::string& job, const platform::TableRow& row,
+void JobOwner::OnJobRow(const std::string& job, const datastore::TableRow& row,
                         const std::vector<OpenEntry>& entries) {
   const std::optional<JobRecord> record = ReadRecord(row);
   if (!record) {
@@ -102,8 +102,8 @@
 
 void JobOwner::Claim(const JobRecord& stored, const std::string& etag) {
   const JobRecord claimed = JobLedger::ClaimOf(stored, this->parts.run, this->Limits());
-  platform::TableRow row{JobPartition(stored.caller), stored.id, etag, claimed.ToJson()};
-  this->parts.writer.Write(std::move(row), platform::WritePriority::kLease, kClaimPatience,
+  datastore::TableRow row{JobPartition(stored.caller), stored.id, etag, claimed.ToJson()};
+  this->parts.writer.Write(std::move(row), datastore::WritePriority::kLease, kClaimPatience,
                            [this, stored, claimed](auto reply) {
                              this->visiting.erase(stored.id);
                              if (reply) {
@@ -156,7 +156,7 @@
     if (!reply) {
       return;
     }
-    for (const platform::TableRow& row : reply.Value()) {
+    for (const datastore::TableRow& row : reply.Value()) {
       const std::optional<EndedEntry> entry = EndedEntry::FromRow(row);
       if (!entry || this->parts.timers.WallNow() < entry->expires ||
           this->visiting.contains(entry->job)) {
--- a/src/batch/internal/lease_keeper.cc
+++ b/src/batch/internal/lease_keeper.cc
@@ -9,11 +9,11 @@
 
 namespace {
 
-using platform::TableErrorKind;
+using datastore::TableErrorKind;
 
 constexpr int kPatienceShare = 3;
 
-LeaseRow ToLease(const platform::TableRow& row) {
+LeaseRow ToLease(const datastore::TableRow& row) {
   LeaseRow lease{"", 0, row.etag};
   if (row.value.is_object()) {
     lease.holder = row.value.value("holder", std::string());
@@ -73,10 +73,10 @@
 }
 
 void LeaseKeeper::Write(int shard, const LeaseRow& row) {
-  platform::TableRow stored{kLeasePartition,
-                            LeaseKey(shard),
-                            row.etag,
-                            {{"holder", row.holder}, {"sequence", row.sequence}}};
+  datastore::TableRow stored{kLeasePartition,
+                             LeaseKey(shard),
+                             row.etag,
+                             {{"holder", row.holder}, {"sequence", row.sequence}}};
   const auto patience = this->parts.settings.lease_lifetime / kPatienceShare;
   const auto on_end = [this, shard, row](auto reply) {
     const framework::MonotonicTime now = this->parts.timers.Now();
@@ -96,7 +96,7 @@
       lease.OnUnavailable(now);
     }
   };
-  this->parts.writer.Write(std::move(stored), platform::WritePriority::kLease, patience, on_end);
+  this->parts.writer.Write(std::move(stored), datastore::WritePriority::kLease, patience, on_end);
 }
 
 bool LeaseKeeper::IsHeld(int shard) const {
--- a/src/batch/internal/open_entry.cc
+++ b/src/batch/internal/open_entry.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-std::optional<OpenEntry> OpenEntry::FromRow(const platform::TableRow& row) {
+std::optional<OpenEntry> OpenEntry::FromRow(const datastore::TableRow& row) {
   OpenEntry entry;
   entry.key = row.key;
   entry.etag = row.etag;
@@ -41,7 +41,7 @@
   return entry;
 }
 
-platform::TableRow OpenEntry::ToRow(int shard) const {
+datastore::TableRow OpenEntry::ToRow(int shard) const {
   const std::string row_key = this->kind == OpenEntryKind::kUpload
                                   ? UploadKey(this->job, this->upload)
                                   : CancelKey(this->job);
@@ -54,7 +54,7 @@
            {"created_ms", ToMilliseconds(this->created)}}};
 }
 
-std::optional<EndedEntry> EndedEntry::FromRow(const platform::TableRow& row) {
+std::optional<EndedEntry> EndedEntry::FromRow(const datastore::TableRow& row) {
   EndedEntry entry{row.etag, TextOf(row.value, "job"), TextOf(row.value, "caller"),
                    TimeOf(row.value, "expires_ms")};
   if (entry.job.empty()) {
@@ -63,7 +63,7 @@
   return entry;
 }
 
-platform::TableRow EndedEntry::ToRow(int shard) const {
+datastore::TableRow EndedEntry::ToRow(int shard) const {
   return {EndedPartition(shard),
           this->job,
           this->etag,
--- a/src/batch/internal/open_entry.h
+++ b/src/batch/internal/open_entry.h
@@ -3,8 +3,8 @@
 #include <optional>
 #include <string>
 
+#include "datastore/types/table_row.h"
 #include "framework/types/time_types.h"
-#include "platform/types/table_row.h"
 
 namespace lentilhead::batch::internal {
 
@@ -21,9 +21,9 @@
   framework::WallTime created{};
 
   /// @return no value if the row is something else.
-  static std::optional<OpenEntry> FromRow(const platform::TableRow& row);
+  static std::optional<OpenEntry> FromRow(const datastore::TableRow& row);
 
-  [[nodiscard]] platform::TableRow ToRow(int shard) const;
+  [[nodiscard]] datastore::TableRow ToRow(int shard) const;
 };
 
 /// Row of a shard's ended partition: a job whose results expire.
@@ -33,8 +33,8 @@
   std::string caller;
   framework::WallTime expires{};
 
-  static std::optional<EndedEntry> FromRow(const platform::TableRow& row);
-  [[nodiscard]] platform::TableRow ToRow(int shard) const;
+  static std::optional<EndedEntry> FromRow(const datastore::TableRow& row);
+  [[nodiscard]] datastore::TableRow ToRow(int shard) const;
 };
 
 }  // namespace lentilhead::batch::internal
--- a/src/batch/internal/owned_job.cc
+++ b/src/batch/internal/owned_job.cc
@@ -12,9 +12,9 @@
 
 namespace {
 
+using datastore::TableErrorKind;
 using framework::LogEvent;
 using framework::Severity;
-using platform::TableErrorKind;
 
 constexpr std::size_t kPrefetchItems = 1'024;
 constexpr std::size_t kOfferItems = 256;
@@ -175,9 +175,9 @@
 }
 
 void OwnedJob::WriteRow(const LedgerWrite& write) {
-  platform::TableRow row{this->partition, this->id, write.etag, write.record.ToJson()};
+  datastore::TableRow row{this->partition, this->id, write.etag, write.record.ToJson()};
   this->parts.metrics.GetCounter("batch_job_writes_total").Add();
-  this->parts.writer.Write(std::move(row), platform::WritePriority::kCommit, kWritePatience,
+  this->parts.writer.Write(std::move(row), datastore::WritePriority::kCommit, kWritePatience,
                            [self = this->shared_from_this()](auto reply) {
                              if (self->ended) {
                                return;
@@ -191,7 +191,7 @@
                            });
 }
 
-void OwnedJob::OnWriteError(const platform::TableError& error) {
+void OwnedJob::OnWriteError(const datastore::TableError& error) {
   this->parts.metrics.GetCounter("batch_write_failures_total", {{"reason", NameOf(error.kind)}})
       .Add();
   if (error.kind == TableErrorKind::kConflict || error.kind == TableErrorKind::kOutcomeUnknown) {
@@ -223,7 +223,7 @@
   });
 }
 
-void OwnedJob::OnRow(const platform::TableRow& row) {
+void OwnedJob::OnRow(const datastore::TableRow& row) {
   const std::optional<JobRecord> stored = boost::leaf::try_handle_all(
       [&]() -> framework::Result<std::optional<JobRecord>> {
         BOOST_LEAF_AUTO(record, JobRecord::FromJson(row.value));
--- a/src/batch/internal/owned_job.h
+++ b/src/batch/internal/owned_job.h
@@ -51,8 +51,8 @@
   void MakeEndings();
   void PutResults(const LedgerWrite& write);
   void WriteRow(const LedgerWrite& write);
-  void OnWriteError(const platform::TableError& error);
-  void OnRow(const platform::TableRow& row);
+  void OnWriteError(const datastore::TableError& error);
+  void OnRow(const datastore::TableRow& row);
   void PauseWrites();
   void FinishWrite();
   void Finish(End end);
--- a/src/batch/internal/submission.cc
+++ b/src/batch/internal/submission.cc
@@ -11,8 +11,8 @@
 
 namespace {
 
+using datastore::TableErrorKind;
 using nlohmann::json;
-using platform::TableErrorKind;
 
 constexpr std::size_t kPutsAtOnce = 4;
 constexpr std::size_t kMostWaiting = 2;
@@ -61,7 +61,7 @@
     }
   });
   const int shard = ShardOf(this->job, this->parts.settings.shards);
-  this->parts.writer.Write(this->entry.ToRow(shard), platform::WritePriority::kIntent,
+  this->parts.writer.Write(this->entry.ToRow(shard), datastore::WritePriority::kIntent,
                            kWritePatience, [self](auto reply) {
                              self->listed = reply.HasValue();
                              self->failed = !self->listed;
@@ -203,10 +203,10 @@
 
 void Submission::InsertRow() {
   this->ended = true;
-  platform::TableRow row{JobPartition(this->order.caller), this->job, "",
-                         this->BuildRecord().ToJson()};
+  datastore::TableRow row{JobPartition(this->order.caller), this->job, "",
+                          this->BuildRecord().ToJson()};
   this->parts.writer.Write(
-      std::move(row), platform::WritePriority::kIntent, kWritePatience,
+      std::move(row), datastore::WritePriority::kIntent, kWritePatience,
       [self = this->shared_from_this()](auto reply) {
         self->OnInserted(reply.HasValue(), reply ? TableErrorKind::kConflict : reply.Error().kind);
       });
--- a/src/batch/internal/submission.h
+++ b/src/batch/internal/submission.h
@@ -51,7 +51,7 @@
   void RefuseFaults();
   void InsertRow();
   [[nodiscard]] JobRecord BuildRecord() const;
-  void OnInserted(bool stored, platform::TableErrorKind error);
+  void OnInserted(bool stored, datastore::TableErrorKind error);
   void AnswerExisting();
   void RemoveUpload();
   void RemoveEntry();
--- a/src/batch/job_api.h
+++ b/src/batch/job_api.h
@@ -6,13 +6,13 @@
 #include <string>
 
 #include "batch/batch_settings.h"
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_settings.h"
 #include "framework/http_router.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::batch {
 
@@ -28,8 +28,8 @@
 
   /// Every reference is to an object of the calling task and must outlive this object.
   JobApi(const BatchSettings& settings, const endpoint::EndpointSettings& services,
-         platform::TableClient& table, platform::ObjectStoreClient& objects,
-         platform::ResolvedWriter& writer, framework::TimerService& timers,
+         datastore::TableClient& table, datastore::ObjectStoreClient& objects,
+         datastore::ResolvedWriter& writer, framework::TimerService& timers,
          framework::Metrics& metrics);
   JobApi(const JobApi&) = delete;
   JobApi& operator=(const JobApi&) = delete;
--- a/src/batch/tests/batch_fleet.cc
+++ b/src/batch/tests/batch_fleet.cc
@@ -63,11 +63,11 @@
   framework::JsonRpcServer procedures;
   framework::HttpRouter router;
   framework::HttpServer server;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::InstanceListClient list;
-  platform::WriteBudget budget;
-  platform::ResolvedWriter writer;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::InstanceListClient list;
+  datastore::WriteBudget budget;
+  datastore::ResolvedWriter writer;
   endpoint::EndpointDirectory directory;
   std::unique_ptr<BatchModule> module;
   JobApi api;
--- a/src/batch/tests/batch_fleet.h
+++ b/src/batch/tests/batch_fleet.h
@@ -7,9 +7,9 @@
 #include "batch/batch_module.h"
 #include "batch/job_api.h"
 #include "batch/tests/instant_engine.h"
+#include "datastore/write_budget.h"
 #include "framework/http_server.h"
 #include "framework/json_rpc_server.h"
-#include "platform/write_budget.h"
 #include "standin/platform/platform_fixture.h"
 
 namespace lentilhead::batch {
--- a/src/control/control_module.h
+++ b/src/control/control_module.h
@@ -5,14 +5,14 @@
 #include <string>
 
 #include "control/control_settings.h"
+#include "datastore/instance_list_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_settings.h"
 #include "fleet/fleet_follower.h"
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 
 namespace lentilhead::control {
@@ -26,9 +26,9 @@
     framework::HttpClient& http;
     framework::TimerService& timers;
     framework::Metrics& metrics;
-    platform::TableClient& table;
-    platform::ResolvedWriter& writer;
-    platform::InstanceListClient& list;
+    datastore::TableClient& table;
+    datastore::ResolvedWriter& writer;
+    datastore::InstanceListClient& list;
     fleet::FleetFollower& fleet;
     sheet::SheetInForce& sheet;
   };
--- a/src/control/internal/control_lease.cc
+++ b/src/control/internal/control_lease.cc
@@ -9,9 +9,9 @@
 
 namespace {
 
+using datastore::TableErrorKind;
 using framework::LogEvent;
 using framework::Severity;
-using platform::TableErrorKind;
 
 constexpr char kLeaderKey[] = "leader";
 constexpr int kTicksPerRenewal = 4;
--- a/src/control/internal/control_state.cc
+++ b/src/control/internal/control_state.cc
@@ -102,8 +102,8 @@
         return;
       }
       std::vector<internal::ManagedEndpoint> live;
-      for (const platform::ListedInstance& entry : reply.Value()) {
-        if (entry.state == platform::ListedState::kLive) {
+      for (const datastore::ListedInstance& entry : reply.Value()) {
+        if (entry.state == datastore::ListedState::kLive) {
           live.push_back(
               {entry.name, service.name, entry.address, entry.zone, service.fencing_checked});
         }
@@ -203,7 +203,7 @@
           return;
         }
         self->parts.metrics.GetCounter("control_record_failures_total", {{"step", "write"}}).Add();
-        if (reply.Error().kind == platform::TableErrorKind::kConflict) {
+        if (reply.Error().kind == datastore::TableErrorKind::kConflict) {
           // Another leader has written: start again from its record.
           self->reconciler.Stop();
         }
--- a/src/control/internal/control_store.cc
+++ b/src/control/internal/control_store.cc
@@ -6,10 +6,10 @@
 
 namespace {
 
+using datastore::TableError;
+using datastore::TableErrorKind;
+using datastore::TableRow;
 using framework::Reply;
-using platform::TableError;
-using platform::TableErrorKind;
-using platform::TableRow;
 using std::chrono::milliseconds;
 
 constexpr char kPartition[] = "control";
@@ -54,7 +54,7 @@
 
 }  // namespace
 
-ControlStore::ControlStore(platform::TableClient& table, platform::ResolvedWriter& writer)
+ControlStore::ControlStore(datastore::TableClient& table, datastore::ResolvedWriter& writer)
     : table(table), writer(writer), record_row(std::make_shared<TableRow>(EmptyRecordRow())) {}
 
 void ControlStore::ReadLease(LeaseHandler handler) {
@@ -76,7 +76,7 @@
   stored.key = kLeaseKey;
   stored.etag = row.etag;
   stored.value = ToJson(row);
-  this->writer.Write(std::move(stored), platform::WritePriority::kLease, patience,
+  this->writer.Write(std::move(stored), datastore::WritePriority::kLease, patience,
                      [handler = std::move(handler)](const Reply<TableRow, TableError>& reply) {
                        if (reply) {
                          handler(LeaseOf(reply.Value()));
@@ -108,7 +108,7 @@
 void ControlStore::WriteRecord(const RolloutRecord& record, DoneHandler handler) {
   TableRow next = *this->record_row;
   next.value.update(internal::ToJson(record));
-  this->writer.Write(std::move(next), platform::WritePriority::kLease, kRecordPatience,
+  this->writer.Write(std::move(next), datastore::WritePriority::kLease, kRecordPatience,
                      [row = this->record_row,
                       handler = std::move(handler)](const Reply<TableRow, TableError>& reply) {
                        if (!reply) {
--- a/src/control/internal/control_store.h
+++ b/src/control/internal/control_store.h
@@ -6,9 +6,9 @@
 
 #include "control/internal/lease_row.h"
 #include "control/internal/rollout_record.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "framework/result.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::control::internal {
 
@@ -16,11 +16,11 @@
 class ControlStore {
  public:
   using LeaseHandler =
-      std::function<void(framework::Reply<std::optional<LeaseRow>, platform::TableError>)>;
-  using RecordHandler = std::function<void(framework::Reply<RolloutRecord, platform::TableError>)>;
-  using DoneHandler = std::function<void(framework::Reply<framework::Done, platform::TableError>)>;
+      std::function<void(framework::Reply<std::optional<LeaseRow>, datastore::TableError>)>;
+  using RecordHandler = std::function<void(framework::Reply<RolloutRecord, datastore::TableError>)>;
+  using DoneHandler = std::function<void(framework::Reply<framework::Done, datastore::TableError>)>;
 
-  ControlStore(platform::TableClient& table, platform::ResolvedWriter& writer);
+  ControlStore(datastore::TableClient& table, datastore::ResolvedWriter& writer);
 
   /// Reads the lease; no row if there is none yet.
   void ReadLease(LeaseHandler handler);
@@ -35,9 +35,9 @@
   void WriteRecord(const RolloutRecord& record, DoneHandler handler);
 
  private:
-  platform::TableClient& table;
-  platform::ResolvedWriter& writer;
-  std::shared_ptr<platform::TableRow> record_row;
+  datastore::TableClient& table;
+  datastore::ResolvedWriter& writer;
+  std::shared_ptr<datastore::TableRow> record_row;
 };
 
 }  // namespace lentilhead::control::internal
--- a/src/control/internal/endpoint_collection.cc
+++ b/src/control/internal/endpoint_collection.cc
@@ -10,7 +10,7 @@
 
 }  // namespace
 
-EndpointCollection::EndpointCollection(platform::InstanceListClient& list,
+EndpointCollection::EndpointCollection(datastore::InstanceListClient& list,
                                        framework::HttpClient& http, Handler handler)
     : list(list), http(http), handler(std::move(handler)) {}
 
@@ -31,9 +31,9 @@
 }
 
 void EndpointCollection::OnListed(const std::string& service,
-                                  const std::vector<platform::ListedInstance>& listed) {
-  for (const platform::ListedInstance& endpoint : listed) {
-    const bool live = endpoint.state == platform::ListedState::kLive;
+                                  const std::vector<datastore::ListedInstance>& listed) {
+  for (const datastore::ListedInstance& endpoint : listed) {
+    const bool live = endpoint.state == datastore::ListedState::kLive;
     this->endpoints.push_back({{"name", endpoint.name},
                                {"service", service},
                                {"zone", endpoint.zone},
--- a/src/control/internal/endpoint_collection.h
+++ b/src/control/internal/endpoint_collection.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "datastore/instance_list_client.h"
 #include "framework/http_client.h"
-#include "platform/instance_list_client.h"
 
 namespace lentilhead::control::internal {
 
@@ -18,18 +18,19 @@
   /// Takes the endpoints and the services whose list could not be read.
   using Handler = std::function<void(nlohmann::json endpoints, nlohmann::json unlisted)>;
 
-  EndpointCollection(platform::InstanceListClient& list, framework::HttpClient& http,
+  EndpointCollection(datastore::InstanceListClient& list, framework::HttpClient& http,
                      Handler handler);
 
   /// Asks for the endpoints of the services; the handler is called once.
   void Collect(const std::vector<std::string>& services);
 
  private:
-  void OnListed(const std::string& service, const std::vector<platform::ListedInstance>& endpoints);
+  void OnListed(const std::string& service,
+                const std::vector<datastore::ListedInstance>& endpoints);
   void AskForLoad(std::size_t index, const std::string& address);
   void EndOne();
 
-  platform::InstanceListClient& list;
+  datastore::InstanceListClient& list;
   framework::HttpClient& http;
   Handler handler;
   std::size_t running = 0;
--- a/src/control/internal/operator_fleet.cc
+++ b/src/control/internal/operator_fleet.cc
@@ -116,7 +116,7 @@
           framework::RespondJson(*exchange, 200, reply.Value().value.dump());
           return;
         }
-        if (reply.Error().kind == platform::TableErrorKind::kNotFound) {
+        if (reply.Error().kind == datastore::TableErrorKind::kNotFound) {
           framework::RespondJson(*exchange, 200, "{}");
           return;
         }
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "datastore/instance_list_client.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_settings.h"
 #include "fleet/fleet_module.h"
 #include "framework/http_client.h"
@@ -12,8 +14,6 @@
 #include "framework/http_router.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 #include "sheet/sheet_store.h"
 
@@ -30,8 +30,8 @@
     framework::HttpClient& http;
     framework::TimerService& timers;
     framework::Metrics& metrics;
-    platform::TableClient& table;
-    platform::InstanceListClient& list;
+    datastore::TableClient& table;
+    datastore::InstanceListClient& list;
     sheet::SheetStore& sheets;
     sheet::SheetInForce& sheet;
     fleet::FleetModule& fleet;
--- a/src/platform/instance_list_client.h
+++ b/src/datastore/instance_list_client.h
@@ -5,13 +5,13 @@
 #include <string>
 #include <vector>
 
+#include "datastore/platform_settings.h"
+#include "datastore/types/list_error.h"
+#include "datastore/types/listed_instance.h"
 #include "framework/http_client.h"
 #include "framework/result.h"
-#include "platform/platform_settings.h"
-#include "platform/types/list_error.h"
-#include "platform/types/listed_instance.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Client of the platform's lagging list (Kubernetes EndpointSlice API).
 class InstanceListClient {
@@ -32,4 +32,4 @@
   std::shared_ptr<State> state;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/instance_list_client.cc
+++ b/src/datastore/internal/instance_list_client.cc
@@ -1,12 +1,12 @@
-#include "platform/instance_list_client.h"
+#include "datastore/instance_list_client.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
-#include "platform/internal/platform_calls.h"
+#include "datastore/internal/platform_calls.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using framework::HttpResponse;
 
@@ -83,4 +83,4 @@
   });
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/key_codec.cc
+++ b/src/datastore/internal/key_codec.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/key_codec.h"
+#include "datastore/internal/key_codec.h"
 
 #include <glib.h>
 
 #include <string_view>
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 namespace {
 
@@ -52,4 +52,4 @@
   return key;
 }
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/key_codec.h
+++ b/src/datastore/internal/key_codec.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Replaces the characters that table keys must not contain (`/`, `\`, `#`, `?`, `%`, control
 /// characters) and `~` by `~` and two hexadecimal digits.
@@ -11,4 +11,4 @@
 /// Undoes EncodeKey().
 std::string DecodeKey(const std::string& encoded);
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/object_store_client.cc
+++ b/src/datastore/internal/object_store_client.cc
@@ -1,11 +1,11 @@
-#include "platform/object_store_client.h"
+#include "datastore/object_store_client.h"
 
 #include <utility>
 
-#include "platform/internal/platform_calls.h"
-#include "platform/internal/platform_errors.h"
+#include "datastore/internal/platform_calls.h"
+#include "datastore/internal/platform_errors.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using framework::Done;
 using framework::HttpRequest;
@@ -101,4 +101,4 @@
       });
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/platform_calls.cc
+++ b/src/datastore/internal/platform_calls.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/platform_calls.h"
+#include "datastore/internal/platform_calls.h"
 
 #include <glib.h>
 
 #include <utility>
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 void PlatformCalls::Send(framework::HttpRequest request, Handler handler) {
   request.timeout = this->settings.request_timeout;
@@ -31,4 +31,4 @@
   return result;
 }
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/platform_calls.h
+++ b/src/datastore/internal/platform_calls.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <string>
 
+#include "datastore/platform_settings.h"
 #include "framework/http_client.h"
-#include "platform/platform_settings.h"
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Requests in flight of one platform client; destroying it cancels them.
 class PlatformCalls : public std::enable_shared_from_this<PlatformCalls> {
@@ -34,4 +34,4 @@
 /// Percent-encodes text for a URL. @param allowed characters that stay as they are.
 std::string EscapeForUrl(const std::string& text, const char* allowed = "");
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/platform_errors.cc
+++ b/src/datastore/internal/platform_errors.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/platform_errors.h"
+#include "datastore/internal/platform_errors.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 const char* NameOf(TableErrorKind kind) {
   switch (kind) {
@@ -132,4 +132,4 @@
 
 }  // namespace internal
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/platform_errors.h
+++ b/src/datastore/internal/platform_errors.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "datastore/types/object_error.h"
+#include "datastore/types/table_error.h"
 #include "framework/types/http_message.h"
-#include "platform/types/object_error.h"
-#include "platform/types/table_error.h"
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Whether a call changes the store, which decides if a lost answer leaves its outcome unknown.
 enum class CallKind { kRead, kWrite };
@@ -18,4 +18,4 @@
 ObjectError ObjectErrorOf(const framework::HttpFailure& failure, CallKind kind);
 ObjectError ObjectErrorOf(const framework::HttpResponse& response, CallKind kind);
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/platform_settings.cc
+++ b/src/datastore/internal/platform_settings.cc
@@ -1,6 +1,6 @@
-#include "platform/platform_settings.h"
+#include "datastore/platform_settings.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -39,4 +39,4 @@
   return settings;
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/resolved_writer.cc
+++ b/src/datastore/internal/resolved_writer.cc
@@ -1,13 +1,13 @@
-#include "platform/resolved_writer.h"
+#include "datastore/resolved_writer.h"
 
 #include <atomic>
 #include <map>
 #include <optional>
 #include <utility>
 
-#include "platform/internal/write_resolution.h"
+#include "datastore/internal/write_resolution.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using framework::Reply;
 using internal::WriteResolution;
@@ -144,4 +144,4 @@
 
 framework::TimerService& ResolvedWriter::Timers() const { return this->state->Timers(); }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/table_client.cc
+++ b/src/datastore/internal/table_client.cc
@@ -1,14 +1,14 @@
-#include "platform/table_client.h"
+#include "datastore/table_client.h"
 
 #include <algorithm>
 #include <optional>
 #include <utility>
 
-#include "platform/internal/key_codec.h"
-#include "platform/internal/platform_calls.h"
-#include "platform/internal/platform_errors.h"
+#include "datastore/internal/key_codec.h"
+#include "datastore/internal/platform_calls.h"
+#include "datastore/internal/platform_errors.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using framework::Done;
 using framework::HttpFailure;
@@ -236,4 +236,4 @@
                        });
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/write_budget.cc
+++ b/src/datastore/internal/write_budget.cc
@@ -1,9 +1,9 @@
-#include "platform/write_budget.h"
+#include "datastore/write_budget.h"
 
 #include <algorithm>
 #include <array>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -34,4 +34,4 @@
   return this->bucket.TimeUntil(now, NeededLevel(this->capacity, priority));
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/internal/write_resolution.cc
+++ b/src/datastore/internal/write_resolution.cc
@@ -1,11 +1,11 @@
-#include "platform/internal/write_resolution.h"
+#include "datastore/internal/write_resolution.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "framework/hash.h"
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 using framework::MonotonicTime;
 using framework::Reply;
@@ -131,4 +131,4 @@
   return this->Fail(this->in_doubt ? TableErrorKind::kOutcomeUnknown : kind, std::move(detail));
 }
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/write_resolution.h
+++ b/src/datastore/internal/write_resolution.h
@@ -2,12 +2,12 @@
 
 #include <chrono>
 
+#include "datastore/internal/write_stamp.h"
+#include "datastore/internal/write_step.h"
 #include "framework/backoff.h"
 #include "framework/types/time_types.h"
-#include "platform/internal/write_stamp.h"
-#include "platform/internal/write_step.h"
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Decides how one conditional write is sent, retried and resolved. Reads no clock and no socket.
 class WriteResolution {
@@ -59,4 +59,4 @@
   bool refused_by_condition = false;
 };
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/write_stamp.cc
+++ b/src/datastore/internal/write_stamp.cc
@@ -1,8 +1,8 @@
-#include "platform/internal/write_stamp.h"
+#include "datastore/internal/write_stamp.h"
 
 #include <utility>
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 namespace {
 
@@ -82,4 +82,4 @@
   return WriteProof::kNone;
 }
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/write_stamp.h
+++ b/src/datastore/internal/write_stamp.h
@@ -5,7 +5,7 @@
 #include <optional>
 #include <string>
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Identity of one logical write, kept in the row that it stored.
 struct WriteStamp {
@@ -36,4 +36,4 @@
 /// Looks for a write in a row's stamp and lineage.
 WriteProof FindProof(const nlohmann::json& value, const WriteStamp& stamp);
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/internal/write_step.h
+++ b/src/datastore/internal/write_step.h
@@ -3,11 +3,11 @@
 #include <chrono>
 #include <variant>
 
+#include "datastore/types/table_error.h"
+#include "datastore/types/table_row.h"
 #include "framework/result.h"
-#include "platform/types/table_error.h"
-#include "platform/types/table_row.h"
 
-namespace lentilhead::platform::internal {
+namespace lentilhead::datastore::internal {
 
 /// Take one write from the budget and send the conditional write.
 struct SendWrite {};
@@ -28,4 +28,4 @@
 /// What to do next for a write.
 using WriteStep = std::variant<SendWrite, SendRead, WaitThen, FinishWrite>;
 
-}  // namespace lentilhead::platform::internal
+}  // namespace lentilhead::datastore::internal
--- a/src/platform/object_store_client.h
+++ b/src/datastore/object_store_client.h
@@ -4,13 +4,13 @@
 #include <memory>
 #include <string>
 
+#include "datastore/platform_settings.h"
+#include "datastore/types/object_error.h"
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/result.h"
-#include "platform/platform_settings.h"
-#include "platform/types/object_error.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Client of the platform's object store (S3 REST, path style).
 ///
@@ -40,4 +40,4 @@
   std::shared_ptr<State> state;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/platform_settings.h
+++ b/src/datastore/platform_settings.h
@@ -5,7 +5,7 @@
 
 #include "framework/settings_reader.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Settings `[platform]`: where the platform's services are and how much of them to use.
 class PlatformSettings {
@@ -20,4 +20,4 @@
   double writes_per_second = 40;  ///< `platform.writes_per_second`, budget of this process.
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/resolved_writer.h
+++ b/src/datastore/resolved_writer.h
@@ -6,12 +6,12 @@
 #include <memory>
 #include <string>
 
+#include "datastore/table_client.h"
+#include "datastore/types/write_priority.h"
+#include "datastore/write_budget.h"
 #include "framework/timer_service.h"
-#include "platform/table_client.h"
-#include "platform/types/write_priority.h"
-#include "platform/write_budget.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Conditional writes whose outcome is found out after a lost answer.
 ///
@@ -48,4 +48,4 @@
   std::shared_ptr<State> state;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/table_client.h
+++ b/src/datastore/table_client.h
@@ -5,14 +5,14 @@
 #include <string>
 #include <vector>
 
+#include "datastore/platform_settings.h"
+#include "datastore/types/table_error.h"
+#include "datastore/types/table_row.h"
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/result.h"
-#include "platform/platform_settings.h"
-#include "platform/types/table_error.h"
-#include "platform/types/table_row.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Client of the platform's table service (OData entities with etags).
 ///
@@ -53,4 +53,4 @@
   std::shared_ptr<State> state;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/object_store_client_test.cc
+++ b/src/datastore/tests/object_store_client_test.cc
@@ -1,11 +1,11 @@
-#include "platform/object_store_client.h"
+#include "datastore/object_store_client.h"
 
 #include <doctest/doctest.h>
 
-#include "platform/instance_list_client.h"
+#include "datastore/instance_list_client.h"
 #include "standin/platform/platform_fixture.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -72,4 +72,4 @@
   CHECK(fetch("profile").Error().kind == ListErrorKind::kUnavailable);
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/resolution_world.cc
+++ b/src/datastore/tests/resolution_world.cc
@@ -1,9 +1,9 @@
-#include "platform/tests/resolution_world.h"
+#include "datastore/tests/resolution_world.h"
 
 #include <array>
 #include <utility>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using framework::Reply;
 using internal::WriteStep;
@@ -223,4 +223,4 @@
   this->operations.erase(id);
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/resolution_world.h
+++ b/src/datastore/tests/resolution_world.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "platform/internal/write_resolution.h"
+#include "datastore/internal/write_resolution.h"
 #include "standin/platform/memory_table.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Writers that race on a few rows of a table over a network that delays, loses and refuses.
 ///
@@ -78,4 +78,4 @@
   std::string violation;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/resolved_writer_test.cc
+++ b/src/datastore/tests/resolved_writer_test.cc
@@ -1,10 +1,10 @@
-#include "platform/resolved_writer.h"
+#include "datastore/resolved_writer.h"
 
 #include <doctest/doctest.h>
 
 #include "standin/platform/platform_fixture.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -89,4 +89,4 @@
   CHECK(fixture.server.Table().Size() == 0);
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/table_client_test.cc
+++ b/src/datastore/tests/table_client_test.cc
@@ -1,10 +1,10 @@
-#include "platform/table_client.h"
+#include "datastore/table_client.h"
 
 #include <doctest/doctest.h>
 
 #include "standin/platform/platform_fixture.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -143,4 +143,4 @@
   CHECK(calls == 0);
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/write_budget_test.cc
+++ b/src/datastore/tests/write_budget_test.cc
@@ -1,10 +1,10 @@
-#include "platform/write_budget.h"
+#include "datastore/write_budget.h"
 
 #include <doctest/doctest.h>
 
-#include "platform/platform_settings.h"
+#include "datastore/platform_settings.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 namespace {
 
@@ -56,4 +56,4 @@
   CHECK(problems[2].key == "platform.writes_per_second");
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/tests/write_resolution_test.cc
+++ b/src/datastore/tests/write_resolution_test.cc
@@ -1,10 +1,10 @@
-#include "platform/internal/write_resolution.h"
+#include "datastore/internal/write_resolution.h"
 
 #include <doctest/doctest.h>
 
-#include "platform/tests/resolution_world.h"
+#include "datastore/tests/resolution_world.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 using internal::FinishWrite;
 using internal::SendRead;
@@ -113,4 +113,4 @@
   }
 }
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/types/list_error.h
+++ b/src/datastore/types/list_error.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 enum class ListErrorKind { kUnavailable, kInvalidAnswer };
 
@@ -12,4 +12,4 @@
   std::string detail;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/types/listed_instance.h
+++ b/src/datastore/types/listed_instance.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 enum class ListedState { kLive, kLeaving };
 
@@ -16,4 +16,4 @@
   bool operator==(const ListedInstance&) const = default;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/types/object_error.h
+++ b/src/datastore/types/object_error.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 enum class ObjectErrorKind { kNotFound, kThrottled, kUnavailable, kOutcomeUnknown, kInvalidAnswer };
 
@@ -15,4 +15,4 @@
 /// Name of a kind in snake_case, for logs and counters.
 const char* NameOf(ObjectErrorKind kind);
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/types/table_error.h
+++ b/src/datastore/types/table_error.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 enum class TableErrorKind {
   kNotFound,
@@ -23,4 +23,4 @@
 /// Name of a kind in snake_case, for logs and counters.
 const char* NameOf(TableErrorKind kind);
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/types/table_row.h
+++ b/src/datastore/types/table_row.h
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Row of the platform's table service.
 struct TableRow {
@@ -13,4 +13,4 @@
   nlohmann::json value;  ///< Object with the row's own properties.
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/platform/write_budget.h
+++ b/src/datastore/write_budget.h
@@ -2,11 +2,11 @@
 
 #include <chrono>
 
+#include "datastore/types/write_priority.h"
 #include "framework/token_bucket.h"
 #include "framework/types/time_types.h"
-#include "platform/types/write_priority.h"
 
-namespace lentilhead::platform {
+namespace lentilhead::datastore {
 
 /// Budget of table writes of one process. Less urgent writes leave a share to more urgent ones.
 class WriteBudget {
@@ -26,4 +26,4 @@
   framework::TokenBucket bucket;
 };
 
-}  // namespace lentilhead::platform
+}  // namespace lentilhead::datastore
--- a/src/endpoint/endpoint_directory.h
+++ b/src/endpoint/endpoint_directory.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "datastore/instance_list_client.h"
 #include "endpoint/endpoint_settings.h"
 #include "endpoint/types/attempt_end.h"
 #include "endpoint/types/endpoint_info.h"
@@ -16,7 +17,6 @@
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
 
 namespace lentilhead::endpoint {
 
@@ -29,7 +29,7 @@
   /// @param instance_name name of this instance, which selects the subset.
   /// @param zone availability zone of this instance, preferred in the subset.
   EndpointDirectory(const EndpointSettings& settings, std::string instance_name, std::string zone,
-                    platform::InstanceListClient& list, framework::HttpClient& http,
+                    datastore::InstanceListClient& list, framework::HttpClient& http,
                     framework::TimerService& timers, framework::Metrics& metrics);
   EndpointDirectory(const EndpointDirectory&) = delete;
   EndpointDirectory& operator=(const EndpointDirectory&) = delete;
--- a/src/endpoint/internal/directory_state.cc
+++ b/src/endpoint/internal/directory_state.cc
@@ -37,7 +37,7 @@
 
 EndpointDirectory::State::State(const EndpointSettings& settings, std::string instance_name,
                                 std::string zone, std::uint64_t seed,
-                                platform::InstanceListClient& list, framework::HttpClient& http,
+                                datastore::InstanceListClient& list, framework::HttpClient& http,
                                 framework::TimerService& timers, framework::Metrics& metrics)
     : table(settings, std::move(instance_name), std::move(zone), seed),
       settings(settings),
--- a/src/endpoint/internal/directory_state.h
+++ b/src/endpoint/internal/directory_state.h
@@ -6,13 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "datastore/instance_list_client.h"
 #include "endpoint/endpoint_directory.h"
 #include "endpoint/internal/endpoint_table.h"
 #include "framework/http_call.h"
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
 
 namespace lentilhead::endpoint {
 
@@ -20,7 +20,7 @@
 class EndpointDirectory::State : public std::enable_shared_from_this<EndpointDirectory::State> {
  public:
   State(const EndpointSettings& settings, std::string instance_name, std::string zone,
-        std::uint64_t seed, platform::InstanceListClient& list, framework::HttpClient& http,
+        std::uint64_t seed, datastore::InstanceListClient& list, framework::HttpClient& http,
         framework::TimerService& timers, framework::Metrics& metrics);
 
   void Start();
@@ -46,7 +46,7 @@
   void UpdateGauges();
 
   EndpointSettings settings;
-  platform::InstanceListClient& list;
+  datastore::InstanceListClient& list;
   framework::HttpClient& http;
   framework::TimerService& timers;
   framework::Metrics& metrics;
--- a/src/endpoint/internal/endpoint_directory.cc
+++ b/src/endpoint/internal/endpoint_directory.cc
@@ -8,7 +8,7 @@
 namespace lentilhead::endpoint {
 
 EndpointDirectory::EndpointDirectory(const EndpointSettings& settings, std::string instance_name,
-                                     std::string zone, platform::InstanceListClient& list,
+                                     std::string zone, datastore::InstanceListClient& list,
                                      framework::HttpClient& http, framework::TimerService& timers,
                                      framework::Metrics& metrics) {
   const std::uint64_t seed = framework::Hash(instance_name);
--- a/src/endpoint/internal/endpoint_table.cc
+++ b/src/endpoint/internal/endpoint_table.cc
@@ -9,9 +9,9 @@
 
 namespace lentilhead::endpoint::internal {
 
+using datastore::ListedInstance;
+using datastore::ListedState;
 using framework::MonotonicTime;
-using platform::ListedInstance;
-using platform::ListedState;
 
 namespace {
 
--- a/src/endpoint/internal/endpoint_table.h
+++ b/src/endpoint/internal/endpoint_table.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
+#include "datastore/types/listed_instance.h"
 #include "endpoint/endpoint_settings.h"
 #include "endpoint/internal/endpoint_record.h"
 #include "endpoint/internal/routing_policy.h"
 #include "endpoint/types/route_request.h"
-#include "platform/types/listed_instance.h"
 
 namespace lentilhead::endpoint::internal {
 
@@ -26,7 +26,7 @@
                 std::uint64_t seed);
 
   /// Takes a read of the platform's list. @return true if an endpoint appeared or left.
-  bool OnList(const std::string& service, const std::vector<platform::ListedInstance>& listed);
+  bool OnList(const std::string& service, const std::vector<datastore::ListedInstance>& listed);
 
   /// Takes a load report that was asked for at a time.
   void OnReport(const std::string& endpoint, LoadReport report, framework::MonotonicTime asked_at);
--- a/src/endpoint/tests/endpoint_directory_test.cc
+++ b/src/endpoint/tests/endpoint_directory_test.cc
@@ -74,7 +74,7 @@
 
   standin::PlatformFixture platform;
   std::map<std::string, std::unique_ptr<standin::EngineServer>> engines;
-  platform::InstanceListClient list{this->platform.settings, this->platform.http};
+  datastore::InstanceListClient list{this->platform.settings, this->platform.http};
   EndpointDirectory directory{DirectorySettings(),
                               "instance",
                               "zone-a",
--- a/src/endpoint/tests/endpoint_table_random_test.cc
+++ b/src/endpoint/tests/endpoint_table_random_test.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-using platform::ListedState;
+using datastore::ListedState;
 using std::chrono::milliseconds;
 
 constexpr int kSteps = 120'000;
@@ -92,7 +92,7 @@
   std::string AnyName() { return "e" + std::to_string(this->random() % kMostEndpoints); }
 
   void ReadList() {
-    std::vector<platform::ListedInstance> listed;
+    std::vector<datastore::ListedInstance> listed;
     for (int number = 0; number < kMostEndpoints; ++number) {
       Told& state = this->told["e" + std::to_string(number)];
       state.listed = this->random() % 8 != 0;
--- a/src/endpoint/tests/endpoint_table_test.cc
+++ b/src/endpoint/tests/endpoint_table_test.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-using platform::ListedState;
+using datastore::ListedState;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/src/endpoint/tests/table_fixture.h
+++ b/src/endpoint/tests/table_fixture.h
@@ -22,8 +22,8 @@
   return settings;
 }
 
-inline platform::ListedInstance Listed(int number,
-                                       platform::ListedState state = platform::ListedState::kLive) {
+inline datastore::ListedInstance Listed(
+    int number, datastore::ListedState state = datastore::ListedState::kLive) {
   const std::string text = std::to_string(number);
   return {.name = "e" + text,
           .address = "127.0.0.1:" + std::to_string(9'000 + number),
@@ -31,8 +31,8 @@
           .state = state};
 }
 
-inline std::vector<platform::ListedInstance> ListOf(int count) {
-  std::vector<platform::ListedInstance> listed;
+inline std::vector<datastore::ListedInstance> ListOf(int count) {
+  std::vector<datastore::ListedInstance> listed;
   listed.reserve(static_cast<std::size_t>(count));
   for (int number = 0; number < count; ++number) {
     listed.push_back(Listed(number));
--- a/src/fleet/fleet_module.h
+++ b/src/fleet/fleet_module.h
@@ -4,6 +4,9 @@
 #include <memory>
 #include <vector>
 
+#include "datastore/instance_list_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "fleet/fleet_settings.h"
 #include "fleet/types/drain_change.h"
 #include "fleet/types/drain_error.h"
@@ -15,9 +18,6 @@
 #include "framework/metrics.h"
 #include "framework/result.h"
 #include "framework/timer_service.h"
-#include "platform/instance_list_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 #include "sheet/sheet_store.h"
 
@@ -32,9 +32,9 @@
     framework::HttpClient& http;
     framework::TimerService& timers;
     framework::Metrics& metrics;
-    platform::TableClient& table;
-    platform::ResolvedWriter& writer;
-    platform::InstanceListClient& list;
+    datastore::TableClient& table;
+    datastore::ResolvedWriter& writer;
+    datastore::InstanceListClient& list;
     sheet::SheetStore& sheets;
     sheet::SheetInForce& sheet;
   };
--- a/src/fleet/internal/drain_store.cc
+++ b/src/fleet/internal/drain_store.cc
@@ -7,9 +7,9 @@
 
 namespace {
 
-using platform::TableError;
-using platform::TableErrorKind;
-using platform::TableRow;
+using datastore::TableError;
+using datastore::TableErrorKind;
+using datastore::TableRow;
 
 constexpr char kPartition[] = "operator";
 constexpr char kRowKey[] = "drains";
@@ -81,7 +81,7 @@
 
 }  // namespace
 
-DrainStore::DrainStore(platform::TableClient& table, platform::ResolvedWriter& writer,
+DrainStore::DrainStore(datastore::TableClient& table, datastore::ResolvedWriter& writer,
                        framework::TimerService& timers)
     : table(table), writer(writer), timers(timers) {}
 
@@ -134,7 +134,7 @@
   const auto wall = this->timers.WallNow().time_since_epoch();
   ApplyTo(next.value, change, std::chrono::duration_cast<std::chrono::milliseconds>(wall).count());
   this->writer.Write(
-      std::move(next), platform::WritePriority::kSheet, kPatience,
+      std::move(next), datastore::WritePriority::kSheet, kPatience,
       [self = shared_from_this(), change = std::move(change), attempts_left,
        handler = std::move(handler)](framework::Reply<TableRow, TableError> reply) mutable {
         if (reply) {
--- a/src/fleet/internal/drain_store.h
+++ b/src/fleet/internal/drain_store.h
@@ -3,13 +3,13 @@
 #include <functional>
 #include <memory>
 
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "fleet/types/drain_change.h"
 #include "fleet/types/drain_error.h"
 #include "fleet/types/drain_state.h"
 #include "framework/result.h"
 #include "framework/timer_service.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::fleet::internal {
 
@@ -18,7 +18,7 @@
  public:
   using Handler = std::function<void(framework::Reply<DrainState, DrainError>)>;
 
-  DrainStore(platform::TableClient& table, platform::ResolvedWriter& writer,
+  DrainStore(datastore::TableClient& table, datastore::ResolvedWriter& writer,
              framework::TimerService& timers);
 
   /// Reads the row; revision 0 if there is none yet.
@@ -29,10 +29,11 @@
 
  private:
   void TryChange(DrainChange change, int attempts_left, Handler handler);
-  void Write(DrainChange change, const platform::TableRow& row, int attempts_left, Handler handler);
+  void Write(DrainChange change, const datastore::TableRow& row, int attempts_left,
+             Handler handler);
 
-  platform::TableClient& table;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ResolvedWriter& writer;
   framework::TimerService& timers;
 };
 
--- a/src/fleet/internal/membership.cc
+++ b/src/fleet/internal/membership.cc
@@ -160,9 +160,9 @@
   }
 }
 
-void Membership::OnListed(const std::vector<platform::ListedInstance>& instances) {
+void Membership::OnListed(const std::vector<datastore::ListedInstance>& instances) {
   this->listed.clear();
-  for (const platform::ListedInstance& instance : instances) {
+  for (const datastore::ListedInstance& instance : instances) {
     this->listed[instance.name] = instance.address;
   }
 }
--- a/src/fleet/internal/membership.h
+++ b/src/fleet/internal/membership.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "datastore/types/listed_instance.h"
 #include "fleet/internal/heartbeat.h"
 #include "fleet/internal/member.h"
 #include "fleet/internal/membership_effect.h"
@@ -14,7 +15,6 @@
 #include "fleet/internal/update_queue.h"
 #include "fleet/types/fleet_view.h"
 #include "framework/types/time_types.h"
-#include "platform/types/listed_instance.h"
 
 namespace lentilhead::fleet::internal {
 
@@ -34,7 +34,7 @@
   MembershipEffects OnPeriod(framework::MonotonicTime now);
 
   /// Takes the platform's list of instances.
-  void OnListed(const std::vector<platform::ListedInstance>& listed);
+  void OnListed(const std::vector<datastore::ListedInstance>& listed);
 
   /// Handles a heartbeat of a peer. @return answer.
   Heartbeat OnHeartbeat(const Heartbeat& heartbeat, framework::MonotonicTime now);
--- a/src/fleet/tests/fleet_module_test.cc
+++ b/src/fleet/tests/fleet_module_test.cc
@@ -57,11 +57,11 @@
   framework::JsonRpcServer rpc;
   framework::HttpServer server{framework::HttpServerSettings{}, router, metrics};
   framework::HttpClient http;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::WriteBudget budget{1'000};
-  platform::ResolvedWriter writer;
-  platform::InstanceListClient list;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::WriteBudget budget{1'000};
+  datastore::ResolvedWriter writer;
+  datastore::InstanceListClient list;
   sheet::SheetStore sheets;
   sheet::SheetInForce sheet;
   std::unique_ptr<FleetModule> module;
--- a/src/fleet/tests/fleet_simulation.cc
+++ b/src/fleet/tests/fleet_simulation.cc
@@ -54,10 +54,10 @@
   node.up = true;
   node.paused = false;
   node.highest_seen = 0;
-  std::vector<platform::ListedInstance> listed;
+  std::vector<datastore::ListedInstance> listed;
   listed.reserve(this->nodes.size());
   for (int peer = 0; peer < static_cast<int>(this->nodes.size()); ++peer) {
-    listed.push_back({NameOf(peer), AddressOf(peer), "", platform::ListedState::kLive});
+    listed.push_back({NameOf(peer), AddressOf(peer), "", datastore::ListedState::kLive});
   }
   node.membership->OnListed(listed);
   this->After(milliseconds(this->random() % kPeriod.count()), [this, index, run = node.run] {
--- /dev/null
+++ b/src/gateway/caller_gate.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "gateway/caller_session.h"
+#include "gateway/gateway.h"
+#include "gateway/types/request_facts.h"
+
+namespace lentilhead::gateway {
+
+/// Answers a call of a batch job, or nothing when the call is none.
+using JobHandler = std::function<net::asio::awaitable<net::Response>(
+    InferenceRequest request, RequestFacts facts, CancelScope& cancel)>;
+
+/// Accepts callers, reads their requests and hands them to what serves them.
+class CallerGate {
+ public:
+  /// @param jobs serves the calls of batch jobs.
+  /// @param is_job_call tells the calls on jobs, whose paths are not those of a route.
+  CallerGate(Gateway& gateway, JobHandler jobs,
+             std::function<bool(const InferenceRequest&)> is_job_call);
+
+  /// Accepts connections until the acceptor is closed.
+  net::asio::awaitable<void> Accept(net::tcp::acceptor& acceptor);
+
+  /// Closes the connections on which no request is at work.
+  void CloseIdle();
+
+  /// Number of open connections.
+  [[nodiscard]] std::size_t OpenSessions() const { return this->sessions.size(); }
+
+  /// Number of requests at work.
+  [[nodiscard]] int RequestsAtWork() const { return this->at_work; }
+
+ private:
+  net::asio::awaitable<void> Serve(std::shared_ptr<CallerSession> session);
+  net::asio::awaitable<void> Answer(CallerSession& session, net::Request message);
+  net::asio::awaitable<void> AnswerProblem(CallerSession& session, ReadProblem problem);
+  net::asio::awaitable<void> Dispatch(CallerSession& session, CancelScope& cancel,
+                                      InferenceRequest request);
+
+  Gateway& gateway;
+  JobHandler jobs;
+  std::function<bool(const InferenceRequest&)> is_job_call;
+  std::set<std::shared_ptr<CallerSession>> sessions;
+  int at_work = 0;
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/endpoint_lease.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "gateway/types/endpoint_state.h"
+#include "gateway/types/work_class.h"
+
+namespace lentilhead::gateway {
+
+/// Counts one request at an endpoint for as long as the object lives.
+class EndpointLease {
+ public:
+  EndpointLease() = default;
+  /// @param on_change called after the count has changed; not empty.
+  EndpointLease(std::shared_ptr<EndpointState> endpoint, WorkClass work,
+                std::function<void()> on_change);
+  EndpointLease(EndpointLease&& other) noexcept;
+  EndpointLease& operator=(EndpointLease&& other) noexcept;
+  EndpointLease(const EndpointLease&) = delete;
+  EndpointLease& operator=(const EndpointLease&) = delete;
+  ~EndpointLease() { this->Release(); }
+
+  [[nodiscard]] EndpointState& Endpoint() const { return *this->endpoint; }
+  [[nodiscard]] const std::shared_ptr<EndpointState>& Shared() const { return this->endpoint; }
+  [[nodiscard]] explicit operator bool() const { return this->endpoint != nullptr; }
+
+  /// Ends the count before the object does.
+  void Release();
+
+ private:
+  void Count(int step);
+
+  std::shared_ptr<EndpointState> endpoint;
+  WorkClass work = WorkClass::kOnline;
+  std::function<void()> on_change;
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "framework/metrics.h"
+#include "gateway/admission.h"
+#include "gateway/endpoint_book.h"
+#include "gateway/internal/connection_pool.h"
+#include "gateway/route_table.h"
+
+namespace lentilhead::gateway {
+
+/// State of a node that its parts share; of one event loop.
+struct Gateway {
+  Gateway(const net::asio::any_io_executor& executor, std::string zone)
+      : executor(executor), book(std::move(zone)), admission(executor, this->book) {}
+
+  net::asio::any_io_executor executor;
+  RouteTable routes;
+  EndpointBook book;
+  Admission admission;
+  internal::ConnectionPool pool;
+  framework::Metrics metrics;
+  bool endpoints_known = false;  ///< the list of endpoints has been read
+  bool stopping = false;         ///< the node leaves
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/admission.cc
@@ -0,0 +1,78 @@
+#include "gateway/admission.h"
+
+#include <algorithm>
+
+namespace lentilhead::gateway {
+
+using net::asio::awaitable;
+
+Admission::Admission(net::asio::any_io_executor executor, EndpointBook& book)
+    : executor(std::move(executor)), book(book) {}
+
+EndpointLease Admission::MakeLease(std::shared_ptr<EndpointState> endpoint, WorkClass work) {
+  return {std::move(endpoint), work, [this] {
+            if (this->on_load_change) {
+              this->on_load_change();
+            }
+          }};
+}
+
+AdmissionOutcome Admission::TryAcquire(const ChoiceRequest& request) {
+  Choice choice = this->book.Choose(request, net::Now());
+  if (!choice.endpoint) {
+    return {EndpointLease(), choice.reason};
+  }
+  return {this->MakeLease(std::move(choice.endpoint), request.work), NoChoice::kNone};
+}
+
+std::list<Admission::Ticket*>::iterator Admission::Enqueue(Ticket& ticket) {
+  const auto later =
+      std::find_if(this->waiting.begin(), this->waiting.end(),
+                   [&](const Ticket* other) { return other->priority > ticket.priority; });
+  return this->waiting.insert(later, &ticket);
+}
+
+std::size_t Admission::Waiting(const std::string& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(this->waiting.begin(), this->waiting.end(),
+                    [&](const Ticket* ticket) { return ticket->request.service == service; }));
+}
+
+awaitable<AdmissionOutcome> Admission::Acquire(ChoiceRequest request, int priority,
+                                               net::SteadyTime until, CancelScope& cancel) {
+  if (this->Waiting(request.service) == 0) {
+    AdmissionOutcome outcome = this->TryAcquire(request);
+    if (outcome.reason != NoChoice::kAllFull) {
+      co_return outcome;
+    }
+  }
+  net::asio::steady_timer timer(this->executor, until);
+  Ticket ticket{std::move(request), priority, &timer, {}};
+  const auto position = this->Enqueue(ticket);
+  cancel.OnCancel([&timer] { timer.cancel(); });
+  if (!cancel.IsCancelled()) {
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+  cancel.OnCancel(nullptr);
+  this->waiting.erase(position);
+  co_return std::move(ticket.outcome);
+}
+
+void Admission::Dispatch() {
+  std::vector<std::string> full;  // services without room for the requests that wait longest
+  for (Ticket* ticket : this->waiting) {
+    const std::string& service = ticket->request.service;
+    if (ticket->outcome.reason != NoChoice::kAllFull ||
+        std::find(full.begin(), full.end(), service) != full.end()) {
+      continue;
+    }
+    ticket->outcome = this->TryAcquire(ticket->request);
+    if (ticket->outcome.reason == NoChoice::kAllFull) {
+      full.push_back(service);
+    } else {
+      ticket->timer->cancel();
+    }
+  }
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/caller_gate.cc
@@ -0,0 +1,166 @@
+#include "gateway/caller_gate.h"
+
+#include <algorithm>
+
+#include "gateway/internal/answers.h"
+#include "gateway/internal/online_run.h"
+#include "gateway/refusal_policy.h"
+#include "net/log_line.h"
+#include "net/retry_pause.h"
+#include "platform/request_codec.h"
+
+namespace lentilhead::gateway {
+
+namespace {
+
+using net::asio::awaitable;
+using net::http::status;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kUnstatedDeadline{30000};  // of requests without a deadline or timeout
+constexpr milliseconds kUnreadyReturn{700};       // a start reads what it needs in less
+constexpr milliseconds kWriteLimit{2000};
+constexpr milliseconds kAcceptPause{20};  // after a failure to accept, such as no free descriptor
+
+double Draw() { return static_cast<double>(net::RandomBelow(1000)) / 1000.0; }
+
+net::SteadyTime DeadlineOf(const InferenceRequest& request, const Route& route,
+                           net::SteadyTime arrival) {
+  milliseconds span = request.deadline.value_or(kUnstatedDeadline);
+  if (route.timeout) {
+    span = std::min(span, *route.timeout);
+  }
+  return arrival + span;
+}
+
+/// Headers that name a length and a coding at once, which two readers take differently.
+bool IsAmbiguous(const net::Request& message) {
+  return message.find(net::http::field::transfer_encoding) != message.end() &&
+         message.find(net::http::field::content_length) != message.end();
+}
+
+}  // namespace
+
+CallerGate::CallerGate(Gateway& gateway, JobHandler jobs,
+                       std::function<bool(const InferenceRequest&)> is_job_call)
+    : gateway(gateway), jobs(std::move(jobs)), is_job_call(std::move(is_job_call)) {}
+
+awaitable<void> CallerGate::Accept(net::tcp::acceptor& acceptor) {
+  while (acceptor.is_open()) {
+    auto [error, socket] = co_await acceptor.async_accept(net::kAwaitWithError);
+    if (!error) {
+      auto session = std::make_shared<CallerSession>(std::move(socket), this->gateway.stopping);
+      net::asio::co_spawn(this->gateway.executor, this->Serve(std::move(session)),
+                          net::asio::detached);
+      continue;
+    }
+    if (error == net::asio::error::operation_aborted) {
+      co_return;
+    }
+    net::LogLine("accept_failed").With("error", error.message());
+    net::asio::steady_timer pause(this->gateway.executor, kAcceptPause);
+    co_await pause.async_wait(net::kAwaitWithError);
+  }
+}
+
+void CallerGate::CloseIdle() {
+  for (const std::shared_ptr<CallerSession>& session : this->sessions) {
+    session->CloseIfIdle();
+  }
+}
+
+awaitable<void> CallerGate::Serve(std::shared_ptr<CallerSession> session) {
+  this->sessions.insert(session);
+  while (session->IsOpen()) {
+    const CallerLimits limits =
+        this->gateway.routes.Config() ? this->gateway.routes.Config()->limits : CallerLimits{};
+    std::variant<net::Request, ReadProblem> read = co_await session->ReadRequest(limits);
+    if (const auto* problem = std::get_if<ReadProblem>(&read)) {
+      co_await this->AnswerProblem(*session, *problem);
+      session->Abort();
+      break;
+    }
+    ++this->at_work;
+    net::Request message = std::move(std::get<net::Request>(read));
+    co_await this->Answer(*session, std::move(message));
+    --this->at_work;
+  }
+  this->sessions.erase(session);
+}
+
+awaitable<void> CallerGate::AnswerProblem(CallerSession& session, ReadProblem problem) {
+  status code = status::bad_request;
+  const char* reason = "malformed";
+  switch (problem) {
+    case ReadProblem::kClosed:
+      co_return;
+    case ReadProblem::kMalformed:
+      break;
+    case ReadProblem::kHeaderTooLarge:
+      code = status::request_header_fields_too_large;
+      reason = "header_too_large";
+      break;
+    case ReadProblem::kBodyTooLarge:
+      code = status::payload_too_large;
+      reason = "body_too_large";
+      break;
+  }
+  net::LogLine("request_rejected").With("reason", reason).With("status", static_cast<int>(code));
+  this->gateway.metrics
+      .GetCounter("gateway_requests_total", {{"outcome", "rejected"}, {"reason", reason}})
+      .Add();
+  net::Response response = MakeFailure(code, reason);
+  co_await session.Send(std::move(response), net::Now() + kWriteLimit);
+}
+
+awaitable<void> CallerGate::Answer(CallerSession& session, net::Request message) {
+  if (IsAmbiguous(message)) {
+    co_await this->AnswerProblem(session, ReadProblem::kMalformed);
+    session.Abort();
+    co_return;
+  }
+  CancelScope cancel;
+  session.StartWatch(cancel);
+  InferenceRequest request = platform::DecodeRequest(std::move(message));
+  co_await this->Dispatch(session, cancel, std::move(request));
+  session.StopWatch();
+}
+
+awaitable<void> CallerGate::Dispatch(CallerSession& session, CancelScope& cancel,
+                                     InferenceRequest request) {
+  RequestFacts facts;
+  facts.arrival = net::Now();
+  facts.config = this->gateway.routes.Config();
+  if (!facts.config || !this->gateway.endpoints_known) {
+    net::LogLine("request_refused").With("request", request.id).With("reason", "not_ready");
+    net::Response response = MakeRefusal("not_ready", kUnreadyReturn);
+    co_await session.Send(std::move(response), net::Now() + kWriteLimit);
+    co_return;
+  }
+  const bool on_job =
+      this->gateway.routes.HasBatchRoute(request.host) && this->is_job_call(request);
+  facts.route = on_job ? nullptr : this->gateway.routes.Match(request.host, request.path);
+  if (!on_job && facts.route == nullptr) {
+    net::LogLine("request_rejected")
+        .With("request", request.id)
+        .With("reason", "no_route")
+        .With("host", request.host)
+        .With("path", request.path)
+        .With("config", facts.config->version);
+    net::Response response = MakeFailure(status::not_found, "no_route");
+    co_await session.Send(std::move(response), net::Now() + kWriteLimit);
+    co_return;
+  }
+  if (on_job || facts.route->kind == RouteKind::kBatch) {
+    net::Response response = co_await this->jobs(std::move(request), std::move(facts), cancel);
+    co_await session.Send(std::move(response), net::Now() + kWriteLimit);
+    co_return;
+  }
+  facts.service = RouteTable::PickService(*facts.route, Draw());
+  facts.deadline = DeadlineOf(request, *facts.route, facts.arrival);
+  facts.request = std::move(request);
+  internal::OnlineRun run(this->gateway, session, cancel, std::move(facts));
+  co_await run.Run();
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/caller_session.cc
@@ -0,0 +1,216 @@
+#include "gateway/caller_session.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+
+#include "net/socket_options.h"
+
+namespace lentilhead::gateway {
+
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSilenceLimit{6000};        // callers wait five seconds and more for answers
+constexpr milliseconds kBodyTimeout{10000};        // a body of the largest size over a slow link
+constexpr std::size_t kReadAheadBytes = 4096;      // taken from the socket at once
+constexpr std::size_t kPipelinedBytes = 64 << 10;  // read ahead while a request is at work
+
+ReadProblem ProblemOf(const net::ErrorCode& error) {
+  if (error == net::http::error::header_limit) {
+    return ReadProblem::kHeaderTooLarge;
+  }
+  if (error == net::http::error::body_limit) {
+    return ReadProblem::kBodyTooLarge;
+  }
+  const bool from_parser =
+      error.category() == net::http::make_error_code(net::http::error::bad_method).category();
+  const bool is_cut =
+      error == net::http::error::end_of_stream || error == net::http::error::partial_message;
+  return from_parser && !is_cut ? ReadProblem::kMalformed : ReadProblem::kClosed;
+}
+
+}  // namespace
+
+CallerSession::CallerSession(net::tcp::socket socket, const bool& stop)
+    : stream(std::move(socket)), stop(stop) {
+  net::SetSocketOptions(this->stream.socket(), kSilenceLimit);
+}
+
+awaitable<bool> CallerSession::AwaitFirstByte(CallerLimits limits) {
+  if (this->buffer.size() > 0) {
+    co_return true;
+  }
+  this->stream.expires_after(limits.idle_timeout);
+  const auto [error, read] =
+      co_await this->stream.async_read_some(this->buffer.prepare(4096), net::kAwaitWithError);
+  this->buffer.commit(read);
+  co_return !error;
+}
+
+awaitable<net::ErrorCode> CallerSession::ReadWhole(Parser& parser, CallerLimits limits) {
+  this->stream.expires_after(limits.header_timeout);
+  const auto [head_error, head_read] = co_await net::http::async_read_header(
+      this->stream, this->buffer, parser, net::kAwaitWithError);
+  if (head_error) {
+    co_return head_error;
+  }
+  this->stream.expires_after(kBodyTimeout);
+  if (net::beast::iequals(parser.get()[net::http::field::expect], "100-continue")) {
+    net::http::response<net::http::empty_body> go_on(net::http::status::continue_, 11);
+    const auto [error, written] =
+        co_await net::http::async_write(this->stream, go_on, net::kAwaitWithError);
+    if (error) {
+      co_return error;
+    }
+  }
+  const auto [body_error, body_read] =
+      co_await net::http::async_read(this->stream, this->buffer, parser, net::kAwaitWithError);
+  co_return body_error;
+}
+
+awaitable<std::variant<net::Request, ReadProblem>> CallerSession::ReadRequest(CallerLimits limits) {
+  this->is_idle = true;
+  const bool begun = co_await this->AwaitFirstByte(limits);
+  if (!begun) {
+    co_return ReadProblem::kClosed;
+  }
+  this->is_idle = false;
+  Parser parser;
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
+  const net::ErrorCode error = co_await this->ReadWhole(parser, limits);
+  if (error) {
+    this->keep_alive = false;
+    co_return ProblemOf(error);
+  }
+  net::Request request = parser.release();
+  this->keep_alive = request.keep_alive();
+  this->is_head = request.method() == net::http::verb::head;
+  co_return request;
+}
+
+void CallerSession::StartWatch(CancelScope& scope) {
+  this->watched = &scope;
+  this->Watch();
+}
+
+void CallerSession::Watch() {
+  if (this->wait_pending || !this->is_open) {
+    return;
+  }
+  this->wait_pending = true;
+  this->stream.socket().async_wait(
+      net::tcp::socket::wait_read,
+      [self = this->shared_from_this()](net::ErrorCode error) { self->OnReadable(error); });
+}
+
+void CallerSession::OnReadable(net::ErrorCode error) {
+  this->wait_pending = false;
+  if (this->watched == nullptr || error == net::asio::error::operation_aborted) {
+    return;
+  }
+  if (!error && this->TakeAvailable()) {
+    if (this->buffer.size() < kPipelinedBytes) {
+      this->Watch();
+    }
+    return;
+  }
+  this->is_open = false;
+  CancelScope* scope = std::exchange(this->watched, nullptr);
+  scope->Cancel();
+}
+
+bool CallerSession::TakeAvailable() {
+  const auto space = this->buffer.prepare(kReadAheadBytes);
+  const ssize_t read =
+      ::recv(this->stream.socket().native_handle(), space.data(), kReadAheadBytes, MSG_DONTWAIT);
+  if (read > 0) {
+    this->buffer.commit(static_cast<std::size_t>(read));
+    return true;
+  }
+  return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
+awaitable<bool> CallerSession::Send(net::Response response, net::SteadyTime until) {
+  if (!this->is_open) {
+    co_return false;
+  }
+  this->keep_alive = this->keep_alive && !this->stop;
+  response.version(11);
+  response.keep_alive(this->keep_alive);
+  if (!this->is_head) {
+    response.prepare_payload();
+  }
+  this->stream.expires_at(until);
+  net::http::response_serializer<net::http::string_body> serializer(response);
+  std::size_t sent = 0;
+  net::ErrorCode failed;
+  if (this->is_head) {
+    const auto [error, written] =
+        co_await net::http::async_write_header(this->stream, serializer, net::kAwaitWithError);
+    failed = error;
+    sent = written;
+  } else {
+    const auto [error, written] =
+        co_await net::http::async_write(this->stream, serializer, net::kAwaitWithError);
+    failed = error;
+    sent = written;
+  }
+  if (failed || !this->keep_alive) {
+    this->is_open = false;
+  }
+  co_return !failed && sent > 0;
+}
+
+awaitable<bool> CallerSession::BeginPieces(net::http::response_header<> head,
+                                           net::SteadyTime until) {
+  if (!this->is_open) {
+    co_return false;
+  }
+  this->keep_alive = this->keep_alive && !this->stop;
+  net::http::response<net::http::empty_body> response(std::move(head));
+  response.version(11);
+  response.keep_alive(this->keep_alive);
+  response.chunked(true);
+  net::http::response_serializer<net::http::empty_body> serializer(response);
+  this->stream.expires_at(until);
+  const auto [error, written] =
+      co_await net::http::async_write_header(this->stream, serializer, net::kAwaitWithError);
+  co_return !error;
+}
+
+awaitable<bool> CallerSession::SendPiece(std::string bytes, net::SteadyTime until) {
+  this->stream.expires_at(until);
+  const auto chunk = net::http::make_chunk(net::asio::buffer(bytes));
+  const auto [error, written] =
+      co_await net::asio::async_write(this->stream, chunk, net::kAwaitWithError);
+  co_return !error;
+}
+
+awaitable<bool> CallerSession::EndPieces(net::SteadyTime until) {
+  this->stream.expires_at(until);
+  const auto last = net::http::make_chunk_last();
+  const auto [error, written] =
+      co_await net::asio::async_write(this->stream, last, net::kAwaitWithError);
+  if (error || !this->keep_alive) {
+    this->is_open = false;
+  }
+  co_return !error;
+}
+
+void CallerSession::Abort() {
+  this->is_open = false;
+  this->stream.close();
+}
+
+void CallerSession::CloseIfIdle() {
+  if (this->is_idle && this->buffer.size() == 0 && net::IsQuiet(this->stream.socket())) {
+    this->Abort();
+  }
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/connection_pool.cc
@@ -0,0 +1,59 @@
+#include "gateway/internal/connection_pool.h"
+
+#include <algorithm>
+
+#include "net/socket_options.h"
+
+namespace lentilhead::gateway::internal {
+
+namespace {
+
+constexpr std::size_t kIdlePerEndpoint = 12;  // above the requests that a node has at an endpoint
+
+bool IsReusable(EndpointConnection& connection, std::chrono::milliseconds longest_idle,
+                net::SteadyTime now) {
+  const auto limit = std::min(longest_idle, connection.idle_limit);
+  return now - connection.idle_since < limit && connection.buffer.size() == 0 &&
+         net::IsQuiet(connection.stream.socket());
+}
+
+}  // namespace
+
+ConnectionPool::Connection ConnectionPool::Take(const EndpointState& endpoint,
+                                                std::chrono::milliseconds longest_idle,
+                                                net::SteadyTime now) {
+  const auto found = this->idle.find(endpoint.entry.id);
+  if (found == this->idle.end()) {
+    return nullptr;
+  }
+  while (!found->second.empty()) {
+    Connection connection = std::move(found->second.back());
+    found->second.pop_back();
+    if (connection->endpoint.get() == &endpoint && IsReusable(*connection, longest_idle, now)) {
+      connection->is_reused = true;
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void ConnectionPool::Return(Connection connection, net::SteadyTime now) {
+  std::vector<Connection>& list = this->idle[connection->endpoint->entry.id];
+  if (list.size() >= kIdlePerEndpoint) {
+    return;
+  }
+  connection->stream.expires_never();
+  connection->idle_since = now;
+  list.push_back(std::move(connection));
+}
+
+void ConnectionPool::Prune(net::SteadyTime now) {
+  for (auto& [id, list] : this->idle) {
+    std::erase_if(list, [&](const Connection& connection) {
+      return !connection->endpoint->listed || !IsReusable(*connection, connection->idle_limit, now);
+    });
+  }
+  std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace lentilhead::gateway::internal
--- /dev/null
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -0,0 +1,183 @@
+#include "gateway/internal/endpoint_attempt.h"
+
+#include <algorithm>
+
+#include "net/socket_options.h"
+#include "platform/request_codec.h"
+
+namespace lentilhead::gateway::internal {
+
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kConnectLimit{400};   // far above a round trip; a full backlog drops for 1 s
+constexpr milliseconds kSilenceLimit{2000};  // as long as callers wait for the next event
+constexpr milliseconds kIdleMargin{700};     // reuse ends so long before the endpoint's idle limit
+constexpr milliseconds kUnstatedIdleLimit{1000};  // endpoints that state none close soon after
+constexpr std::uint32_t kHeadBytes = 64 << 10;    // far above any head of an answer
+constexpr int kStrayAnswers = 3;                  // late answers that are passed over
+
+/// Writes a request while its answer may already be read.
+awaitable<void> WriteRequest(ConnectionPool::Connection connection,
+                             std::shared_ptr<net::Request> message) {
+  const auto [error, written] =
+      co_await net::http::async_write(connection->stream, *message, net::kAwaitWithError);
+  if (!error) {
+    connection->is_written = true;
+  }
+}
+
+}  // namespace
+
+EndpointAttempt::EndpointAttempt(net::asio::any_io_executor executor, ConnectionPool& pool,
+                                 std::shared_ptr<EndpointState> endpoint, CancelScope& cancel)
+    : executor(std::move(executor)), pool(pool), endpoint(std::move(endpoint)), cancel(cancel) {}
+
+void EndpointAttempt::Abort() {
+  this->cancel.OnCancel(nullptr);
+  if (this->connection) {
+    this->connection->stream.close();
+    this->connection.reset();
+  }
+}
+
+awaitable<bool> EndpointAttempt::Connect(net::SteadyTime until, milliseconds longest_idle) {
+  this->connection = this->pool.Take(*this->endpoint, longest_idle, net::Now());
+  if (this->connection) {
+    this->was_reused = true;
+    co_return true;
+  }
+  this->connection = std::make_shared<EndpointConnection>(this->executor, this->endpoint);
+  const ConnectionPool::Connection held = this->connection;
+  this->cancel.OnCancel([held] { held->stream.close(); });
+  held->stream.expires_at(std::min(until, net::Now() + kConnectLimit));
+  const auto [error] =
+      co_await held->stream.async_connect(this->endpoint->entry.address, net::kAwaitWithError);
+  if (error || this->cancel.IsCancelled()) {
+    co_return false;
+  }
+  net::SetSocketOptions(held->stream.socket(), kSilenceLimit);
+  co_return true;
+}
+
+awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::Start(net::Request message,
+                                                                std::string request_id,
+                                                                AttemptLimits limits) {
+  const bool connected = co_await this->Connect(limits.answer_by, limits.longest_idle);
+  if (!connected) {
+    this->Abort();
+    co_return AttemptFailure::kNotSent;
+  }
+  const bool is_head = message.method() == net::http::verb::head;
+  const ConnectionPool::Connection held = this->connection;
+  this->cancel.OnCancel([held] { held->stream.close(); });
+  held->is_written = false;
+  held->stream.expires_at(limits.answer_by);
+  auto shared_message = std::make_shared<net::Request>(std::move(message));
+  net::asio::co_spawn(this->executor, WriteRequest(held, std::move(shared_message)),
+                      net::asio::detached);
+  StartOutcome outcome = co_await this->ReadHead(std::move(request_id), is_head, limits.answer_by);
+  if (std::holds_alternative<AttemptFailure>(outcome)) {
+    this->Abort();
+  }
+  co_return outcome;
+}
+
+awaitable<bool> EndpointAttempt::PassOver(net::SteadyTime until) {
+  BodyState state = BodyState::kMore;
+  while (state == BodyState::kMore) {
+    this->connection->stream.expires_at(until);
+    const auto [error, read] = co_await net::http::async_read_some(
+        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+    if (error) {
+      co_return false;
+    }
+    this->parser->get().body().clear();
+    state = this->parser->is_done() ? BodyState::kEnd : BodyState::kMore;
+  }
+  co_return true;
+}
+
+awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::ReadHead(std::string request_id,
+                                                                   bool is_head,
+                                                                   net::SteadyTime until) {
+  for (int answers = 0; answers <= kStrayAnswers; ++answers) {
+    this->parser = std::make_unique<Parser>();
+    this->parser->header_limit(kHeadBytes);
+    this->parser->body_limit(boost::none);
+    this->parser->skip(is_head);
+    this->connection->stream.expires_at(until);
+    const auto [error, read] = co_await net::http::async_read_header(
+        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+    if (error) {
+      co_return error == net::beast::error::timeout ? AttemptFailure::kTimedOut
+                                                    : AttemptFailure::kUnknown;
+    }
+    AnswerHead answer{this->parser->get().base(), {}};
+    answer.facts = platform::DecodeAnswer(answer.head);
+    const bool is_success = answer.head.result_int() / 100 == 2;
+    const std::string& answered = answer.facts.request_id;
+    if (answered == request_id || (answered.empty() && !is_success)) {
+      co_return answer;
+    }
+    const bool passed = co_await this->PassOver(until);
+    if (!passed) {
+      co_return AttemptFailure::kUnknown;
+    }
+  }
+  co_return AttemptFailure::kUnknown;
+}
+
+void EndpointAttempt::Finish() {
+  const bool reusable = this->parser->keep_alive() && !this->parser->need_eof() &&
+                        this->connection->is_written && this->connection->buffer.size() == 0;
+  if (!reusable) {
+    this->Abort();
+    return;
+  }
+  this->cancel.OnCancel(nullptr);
+  const EndpointAnswer facts = platform::DecodeAnswer(this->parser->get().base());
+  this->connection->idle_limit =
+      facts.idle_limit ? milliseconds(*facts.idle_limit) - kIdleMargin : kUnstatedIdleLimit;
+  this->pool.Return(std::move(this->connection), net::Now());
+  this->connection.reset();
+}
+
+awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
+  BodyPiece piece;
+  if (!this->connection) {
+    piece.state = BodyState::kBroken;
+    co_return piece;
+  }
+  if (!this->parser->is_done()) {
+    this->connection->stream.expires_at(until);
+    const auto [error, read] = co_await net::http::async_read_some(
+        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+    piece.bytes = std::exchange(this->parser->get().body(), std::string());
+    if (error) {
+      const bool late = error == net::beast::error::timeout;
+      piece.state = late ? BodyState::kTimedOut : BodyState::kBroken;
+      this->Abort();
+      co_return piece;
+    }
+  }
+  if (this->parser->is_done()) {
+    piece.state = BodyState::kEnd;
+    this->Finish();
+  }
+  co_return piece;
+}
+
+awaitable<BodyPiece> EndpointAttempt::ReadRest(std::size_t most, net::SteadyTime until) {
+  BodyPiece all;
+  while (all.state == BodyState::kMore && all.bytes.size() < most) {
+    BodyPiece piece = co_await this->ReadPiece(until);
+    all.bytes += piece.bytes;
+    all.state = piece.state;
+  }
+  co_return all;
+}
+
+}  // namespace lentilhead::gateway::internal
--- /dev/null
+++ b/src/gateway/internal/endpoint_book.cc
@@ -0,0 +1,223 @@
+#include "gateway/endpoint_book.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <limits>
+
+#include "net/retry_pause.h"
+
+namespace lentilhead::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kOnlineOvercommit =
+    1;                             // queued at the endpoint, so that a free place is filled at once
+constexpr int kBatchHeadroom = 1;  // places per endpoint that batch leaves to the next online calls
+constexpr milliseconds kReportLifetime{400};  // load reports are some 100 ms old on arrival
+constexpr double kLargestSlowness = 8;        // bounds how far a slow endpoint is avoided
+constexpr double kSlownessFloor = 1.5;        // below, differences of pace are left to chance
+constexpr double kZoneAdvantage = 0.02;       // breaks ties towards the own zone
+
+bool IsUsable(const EndpointState& state, net::SteadyTime now) {
+  return !state.entry.is_draining && (state.listed || now < state.usable_until);
+}
+
+bool HasRoom(const EndpointState& state, WorkClass work, int total) {
+  const int slots = state.entry.slots;
+  return work == WorkClass::kOnline ? total < slots + kOnlineOvercommit
+                                    : total < slots - std::min(kBatchHeadroom, slots - 1);
+}
+
+}  // namespace
+
+std::uint32_t EndpointKey(const std::string& id) { return XXH32(id.data(), id.size(), 0); }
+
+void EndpointBook::Put(const EndpointEntry& entry) {
+  std::shared_ptr<EndpointState>& state = this->endpoints[entry.id];
+  if (!state || state->entry.address != entry.address ||
+      state->entry.born_unix_ms != entry.born_unix_ms) {
+    state = std::make_shared<EndpointState>();
+    state->key = EndpointKey(entry.id);
+    this->by_key[state->key] = state;
+    for (const auto& [peer, loads] : this->peers) {
+      if (const auto load = loads.find(state->key); load != loads.end()) {
+        state->peer_online += load->second.online;
+        state->peer_batch += load->second.batch;
+      }
+    }
+  }
+  state->entry = entry;
+  state->listed = true;
+}
+
+void EndpointBook::Remove(const std::string& id, net::SteadyTime keep_until) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end() || !found->second->listed) {
+    return;
+  }
+  found->second->listed = false;
+  found->second->usable_until = keep_until;
+}
+
+void EndpointBook::ReplaceAll(const std::vector<EndpointEntry>& entries,
+                              net::SteadyTime keep_missing_until) {
+  std::vector<std::string> missing;
+  for (const auto& [id, state] : this->endpoints) {
+    const bool found =
+        std::any_of(entries.begin(), entries.end(),
+                    [&id = id](const EndpointEntry& entry) { return entry.id == id; });
+    if (!found) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    this->Remove(id, keep_missing_until);
+  }
+  for (const EndpointEntry& entry : entries) {
+    this->Put(entry);
+  }
+}
+
+void EndpointBook::Prune(net::SteadyTime now) {
+  std::erase_if(this->endpoints, [&](const auto& item) {
+    const EndpointState& state = *item.second;
+    const bool gone = !state.listed && now >= state.usable_until && state.OwnTotal() == 0;
+    if (gone) {
+      this->by_key.erase(state.key);
+    }
+    return gone;
+  });
+}
+
+int EndpointBook::EstimatedTotal(const EndpointState& state, net::SteadyTime now) {
+  int others = state.peer_online + state.peer_batch;
+  if (state.reported && now - state.reported_at < kReportLifetime) {
+    others =
+        std::max(others, state.reported->running + state.reported->waiting - state.own_at_report);
+  }
+  return state.OwnTotal() + others;
+}
+
+double EndpointBook::MedianPace(const std::string& service) const {
+  std::vector<double> paces;
+  for (const auto& [id, state] : this->endpoints) {
+    if (state->entry.service == service && state->pace_ms > 0) {
+      paces.push_back(state->pace_ms);
+    }
+  }
+  if (paces.empty()) {
+    return 0;
+  }
+  std::nth_element(paces.begin(), paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2),
+                   paces.end());
+  return paces[paces.size() / 2];
+}
+
+double EndpointBook::Score(const EndpointState& state, double median_pace,
+                           net::SteadyTime now) const {
+  double slowness = 1;
+  if (median_pace > 0 && state.pace_ms > median_pace * kSlownessFloor) {
+    slowness = std::min(state.pace_ms / median_pace, kLargestSlowness);
+  }
+  const double load = (EstimatedTotal(state, now) + 1.0) / state.entry.slots;
+  return load * slowness - (state.entry.zone == this->zone ? kZoneAdvantage : 0);
+}
+
+Choice EndpointBook::Choose(const ChoiceRequest& request, net::SteadyTime now) const {
+  const double median_pace = this->MedianPace(request.service);
+  Choice best{nullptr, NoChoice::kNotListed};
+  bool best_suspect = true;
+  double best_score = std::numeric_limits<double>::max();
+  std::size_t equals = 0;
+  for (const auto& [id, state] : this->endpoints) {
+    const bool excluded =
+        std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+    if (state->entry.service != request.service || excluded || !IsUsable(*state, now)) {
+      continue;
+    }
+    if (best.reason == NoChoice::kNotListed) {
+      best.reason = NoChoice::kAllFull;
+    }
+    const bool suspect = now < state->suspect_until;
+    if (!HasRoom(*state, request.work, EstimatedTotal(*state, now)) ||
+        (suspect && request.work == WorkClass::kBatch)) {
+      continue;
+    }
+    const double score = this->Score(*state, median_pace, now);
+    const bool better = suspect != best_suspect ? best_suspect : score < best_score;
+    const bool equal = suspect == best_suspect && score == best_score;
+    equals = better ? 1 : equals + (equal ? 1 : 0);
+    if (better || (equal && net::RandomBelow(equals) == 0)) {
+      best = {state, NoChoice::kNone};
+      best_suspect = suspect;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void EndpointBook::AddPeerLoad(const PeerLoads& loads, int sign) {
+  for (const auto& [key, load] : loads) {
+    const auto found = this->by_key.find(key);
+    if (found != this->by_key.end()) {
+      found->second->peer_online += sign * load.online;
+      found->second->peer_batch += sign * load.batch;
+    }
+  }
+}
+
+void EndpointBook::SetPeerLoad(const std::string& peer, const std::vector<EndpointLoad>& loads) {
+  PeerLoads& known = this->peers[peer];
+  this->AddPeerLoad(known, -1);
+  known.clear();
+  for (const EndpointLoad& load : loads) {
+    known[load.endpoint_key] = load;
+  }
+  this->AddPeerLoad(known, 1);
+  if (known.empty()) {
+    this->peers.erase(peer);
+  }
+}
+
+std::vector<EndpointLoad> EndpointBook::OwnLoads() const {
+  std::vector<EndpointLoad> loads;
+  for (const auto& [id, state] : this->endpoints) {
+    if (state->OwnTotal() > 0) {
+      loads.push_back({state->key, state->own_online, state->own_batch});
+    }
+  }
+  return loads;
+}
+
+int EndpointBook::BatchOfPeersAfter(const std::string& name, std::uint32_t endpoint_key) const {
+  int count = 0;
+  for (auto peer = this->peers.upper_bound(name); peer != this->peers.end(); ++peer) {
+    if (const auto load = peer->second.find(endpoint_key); load != peer->second.end()) {
+      count += load->second.batch;
+    }
+  }
+  return count;
+}
+
+int EndpointBook::BatchToYield(const EndpointState& state, int batch_of_peers_before,
+                               net::SteadyTime now) {
+  const int excess = EstimatedTotal(state, now) - state.entry.slots - batch_of_peers_before;
+  return std::clamp(excess, 0, state.own_batch);
+}
+
+double EndpointBook::Occupancy(const std::string& service, net::SteadyTime now) const {
+  int slots = 0;
+  int taken = 0;
+  for (const auto& [id, state] : this->endpoints) {
+    if (state->entry.service == service && IsUsable(*state, now)) {
+      slots += state->entry.slots;
+      taken += std::min(state->entry.slots, EstimatedTotal(*state, now));
+    }
+  }
+  return slots == 0 ? 1.0 : static_cast<double>(taken) / slots;
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/endpoint_lease.cc
@@ -0,0 +1,42 @@
+#include "gateway/endpoint_lease.h"
+
+#include <utility>
+
+namespace lentilhead::gateway {
+
+EndpointLease::EndpointLease(std::shared_ptr<EndpointState> endpoint, WorkClass work,
+                             std::function<void()> on_change)
+    : endpoint(std::move(endpoint)), work(work), on_change(std::move(on_change)) {
+  this->Count(1);
+}
+
+EndpointLease::EndpointLease(EndpointLease&& other) noexcept
+    : endpoint(std::exchange(other.endpoint, nullptr)),
+      work(other.work),
+      on_change(std::move(other.on_change)) {}
+
+EndpointLease& EndpointLease::operator=(EndpointLease&& other) noexcept {
+  if (this != &other) {
+    this->Release();
+    this->endpoint = std::exchange(other.endpoint, nullptr);
+    this->work = other.work;
+    this->on_change = std::move(other.on_change);
+  }
+  return *this;
+}
+
+void EndpointLease::Count(int step) {
+  int& count =
+      this->work == WorkClass::kOnline ? this->endpoint->own_online : this->endpoint->own_batch;
+  count += step;
+  this->on_change();
+}
+
+void EndpointLease::Release() {
+  if (this->endpoint) {
+    this->Count(-1);
+    this->endpoint = nullptr;
+  }
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/internal/online_run.cc
@@ -0,0 +1,401 @@
+#include "gateway/internal/online_run.h"
+
+#include <algorithm>
+
+#include "gateway/internal/answers.h"
+#include "gateway/refusal_policy.h"
+#include "net/log_line.h"
+#include "net/retry_pause.h"
+#include "platform/request_codec.h"
+
+namespace lentilhead::gateway::internal {
+
+namespace {
+
+using net::asio::awaitable;
+using net::http::status;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWriteGrace{1000};  // an answer that is ready is written past the deadline
+constexpr milliseconds kSafeIdle{400};     // a connection idle for less is not about to be closed
+constexpr std::size_t kWholeBytes = 256 << 10;  // answers up to this size are checked whole first
+constexpr double kDrawSteps = 1000;
+
+double Draw() { return static_cast<double>(net::RandomBelow(1000)) / kDrawSteps; }
+
+}  // namespace
+
+OnlineRun::OnlineRun(Gateway& gateway, CallerSession& session, CancelScope& cancel,
+                     RequestFacts facts)
+    : gateway(gateway), session(session), cancel(cancel), facts(std::move(facts)) {
+  this->last_event = this->facts.request.last_event_id;
+}
+
+bool OnlineRun::MayTryAgain() const {
+  return AttemptPolicy::MayTryAgain(*this->facts.route, this->record, this->facts.IsRepeatable());
+}
+
+net::SteadyTime OnlineRun::WriteLimit() const {
+  return std::max(this->facts.deadline, net::Now()) + kWriteGrace;
+}
+
+void OnlineRun::Count(const char* outcome, std::string_view reason) {
+  this->gateway.metrics
+      .GetCounter("gateway_requests_total", {{"outcome", outcome}, {"reason", std::string(reason)}})
+      .Add();
+  this->gateway.metrics.GetLatency("gateway_request_seconds", {{"outcome", outcome}})
+      .Record(net::Now() - this->facts.arrival);
+}
+
+void OnlineRun::LogOutcome(std::string_view outcome, std::string_view reason, int status) {
+  const net::SteadyTime now = net::Now();
+  const bool routine = outcome == "served";
+  net::LogLine line("request_end",
+                    routine ? net::LogImportance::kRoutine : net::LogImportance::kNotable);
+  line.With("request", this->facts.request.id)
+      .With("outcome", outcome)
+      .With("reason", reason)
+      .With("status", status)
+      .With("route", this->facts.route->name)
+      .With("config", this->facts.config->version)
+      .With("endpoint", this->last_endpoint)
+      .With("sent", this->record.sent)
+      .With("maybe_run", this->record.maybe_run)
+      .With("ms", net::ToMilliseconds(now - this->facts.arrival).count())
+      .With("left_ms", net::ToMilliseconds(this->facts.deadline - now).count());
+  if (this->first_event != net::SteadyTime{}) {
+    line.With("first_event_ms",
+              net::ToMilliseconds(this->first_event - this->facts.arrival).count());
+  }
+}
+
+awaitable<void> OnlineRun::Refuse(std::string_view reason) {
+  if (this->stream_begun) {
+    this->Count("cut", reason);
+    this->LogOutcome("cut", reason, 0);
+    this->session.Abort();
+    co_return;
+  }
+  if (this->record.maybe_run) {
+    co_await this->Fail(status::bad_gateway, reason);
+    co_return;
+  }
+  const milliseconds wait = RefusalPolicy::RetryAfter(Draw());
+  this->Count("refused", reason);
+  net::LogLine("request_refused")
+      .With("request", this->facts.request.id)
+      .With("reason", reason)
+      .With("service", this->facts.service)
+      .With("waiting", this->gateway.admission.Waiting(this->facts.service))
+      .With("occupancy", this->gateway.book.Occupancy(this->facts.service, net::Now()))
+      .With("retry_after_ms", wait.count())
+      .With("ms", net::ToMilliseconds(net::Now() - this->facts.arrival).count());
+  net::Response response = MakeRefusal(reason, wait);
+  co_await this->session.Send(std::move(response), this->WriteLimit());
+}
+
+awaitable<void> OnlineRun::Fail(status code, std::string_view reason) {
+  this->Count("failed", reason);
+  this->LogOutcome(this->stream_begun ? "cut" : "failed", reason, static_cast<int>(code));
+  if (this->stream_begun) {
+    this->session.Abort();
+    co_return;
+  }
+  net::Response response = MakeFailure(code, reason);
+  co_await this->session.Send(std::move(response), this->WriteLimit());
+}
+
+awaitable<void> OnlineRun::GiveUpAtDeadline() {
+  if (this->record.sent > 0) {
+    co_await this->Fail(status::gateway_timeout, "deadline");
+  } else {
+    co_await this->Refuse("deadline");
+  }
+}
+
+awaitable<void> OnlineRun::Run() {
+  Step step = Step::kTryAgain;
+  while (step == Step::kTryAgain && !this->cancel.IsCancelled()) {
+    const net::SteadyTime now = net::Now();
+    if (now >= this->facts.deadline) {
+      co_await this->GiveUpAtDeadline();
+      co_return;
+    }
+    const net::SteadyTime until =
+        RefusalPolicy::WaitUntil(*this->facts.route, now, this->facts.deadline);
+    ChoiceRequest choice{this->facts.service, this->tried, WorkClass::kOnline};
+    AdmissionOutcome admitted = co_await this->gateway.admission.Acquire(
+        std::move(choice), this->facts.route->priority, until, this->cancel);
+    if (this->cancel.IsCancelled()) {
+      break;
+    }
+    if (!admitted.lease) {
+      const bool full = admitted.reason == NoChoice::kAllFull;
+      co_await this->Refuse(full ? "all_full" : "no_endpoint");
+      co_return;
+    }
+    step = co_await this->TryEndpoint(std::move(admitted.lease));
+  }
+  if (this->cancel.IsCancelled()) {
+    this->Count("gone", "caller_closed");
+    this->LogOutcome("gone", "caller_closed", 0);
+  }
+}
+
+awaitable<OnlineRun::Step> OnlineRun::TryEndpoint(EndpointLease lease) {
+  const net::SteadyTime now = net::Now();
+  const Route& route = *this->facts.route;
+  this->last_endpoint = lease.Endpoint().entry.id;
+  this->tried.push_back(this->last_endpoint);
+  const bool can_repeat = this->facts.IsRepeatable() && this->record.sent + 1 < route.max_attempts;
+  AttemptOptions options{this->last_endpoint, net::ToMilliseconds(this->facts.deadline - now),
+                         this->last_event};
+  net::Request message = platform::EncodeAttempt(this->facts.request, options);
+  EndpointAttempt attempt(this->gateway.executor, this->gateway.pool, lease.Shared(), this->cancel);
+  AttemptLimits limits{AttemptPolicy::AnswerBy(route, now, this->facts.deadline, can_repeat),
+                       this->facts.IsRepeatable() ? milliseconds::max() : kSafeIdle};
+  EndpointAttempt::StartOutcome outcome =
+      co_await attempt.Start(std::move(message), this->facts.request.id, limits);
+  if (this->cancel.IsCancelled()) {
+    co_return Step::kDone;
+  }
+  if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
+    if (*failure != AttemptFailure::kNotSent) {
+      ++this->record.sent;
+      this->record.maybe_run = true;
+    }
+    const std::string_view cause = NameOf(*failure);
+    co_return co_await this->AfterFailure(lease, cause);
+  }
+  AnswerHead answer = std::move(std::get<AnswerHead>(outcome));
+  co_return co_await this->HandleAnswer(attempt, lease, std::move(answer));
+}
+
+awaitable<OnlineRun::Step> OnlineRun::AfterFailure(const EndpointLease& lease,
+                                                   std::string_view cause) {
+  EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now());
+  this->gateway.metrics
+      .GetCounter("gateway_attempt_failures_total", {{"cause", std::string(cause)}})
+      .Add();
+  net::LogLine("attempt_failed")
+      .With("request", this->facts.request.id)
+      .With("endpoint", this->last_endpoint)
+      .With("cause", cause)
+      .With("sent", this->record.sent)
+      .With("last_event", this->last_event.value_or(-1))
+      .With("suspect_failures", lease.Endpoint().failures_in_row);
+  if (net::Now() >= this->facts.deadline) {
+    co_await this->GiveUpAtDeadline();
+    co_return Step::kDone;
+  }
+  if (this->MayTryAgain()) {
+    co_return Step::kTryAgain;
+  }
+  co_await this->Fail(status::bad_gateway, cause);
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::AfterNotExecuted(const EndpointLease& lease,
+                                                       AnswerHead answer,
+                                                       EndpointAttempt& attempt) {
+  co_await attempt.ReadRest(kWholeBytes, this->facts.deadline);
+  net::LogLine("attempt_not_executed")
+      .With("request", this->facts.request.id)
+      .With("endpoint", this->last_endpoint)
+      .With("status", answer.head.result_int())
+      .With("own", lease.Endpoint().OwnTotal())
+      .With("peers", lease.Endpoint().peer_online + lease.Endpoint().peer_batch);
+  this->gateway.metrics
+      .GetCounter("gateway_not_executed_total",
+                  {{"status", std::to_string(answer.head.result_int())}})
+      .Add();
+  if (answer.facts.other_instance) {
+    EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now());
+    co_return Step::kTryAgain;
+  }
+  ++this->record.sent;
+  if (this->MayTryAgain() && net::Now() < this->facts.deadline) {
+    co_return Step::kTryAgain;
+  }
+  co_await this->Refuse("endpoint_full");
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::HandleAnswer(EndpointAttempt& attempt,
+                                                   const EndpointLease& lease, AnswerHead answer) {
+  if (answer.facts.load) {
+    EndpointEvidence::NoteLoad(lease.Endpoint(), *answer.facts.load, net::Now());
+  }
+  const int code = static_cast<int>(answer.head.result_int());
+  const bool is_refusal = code == 503 || code == 429 || code == 421;
+  if (answer.facts.other_instance || (answer.facts.not_executed && is_refusal)) {
+    co_return co_await this->AfterNotExecuted(lease, std::move(answer), attempt);
+  }
+  ++this->record.sent;
+  this->record.maybe_run = !answer.facts.not_executed || this->record.maybe_run;
+  EndpointEvidence::NoteAnswer(lease.Endpoint());
+  const bool is_success = code / 100 == 2;
+  if (is_success && !answer.facts.is_signed) {
+    attempt.Abort();
+    co_return co_await this->AfterFailure(lease, "unsigned");
+  }
+  if (is_success && this->facts.route->kind == RouteKind::kStream) {
+    co_return co_await this->PassEvents(attempt, lease, std::move(answer));
+  }
+  co_return co_await this->PassWhole(attempt, lease, std::move(answer));
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassWhole(EndpointAttempt& attempt,
+                                                const EndpointLease& lease, AnswerHead answer) {
+  const net::SteadyTime begun = net::Now();
+  const bool can_repeat = this->facts.IsRepeatable() && this->MayTryAgain();
+  BodyPiece body = co_await attempt.ReadRest(
+      kWholeBytes,
+      AttemptPolicy::AnswerBy(*this->facts.route, begun, this->facts.deadline, can_repeat));
+  if (this->cancel.IsCancelled()) {
+    co_return Step::kDone;
+  }
+  if (body.state == BodyState::kBroken || body.state == BodyState::kTimedOut) {
+    co_return co_await this->AfterFailure(lease, "body_cut");
+  }
+  const int code = static_cast<int>(answer.head.result_int());
+  if (code / 100 == 5 && this->facts.IsRepeatable() && this->MayTryAgain() && !this->stream_begun) {
+    co_return co_await this->AfterFailure(lease, "endpoint_error");
+  }
+  if (this->stream_begun) {
+    co_await this->Fail(status::bad_gateway, "resume_refused");
+    co_return Step::kDone;
+  }
+  const bool unsafe_promise = (code == 503 || code == 429 || code == 408) && this->record.maybe_run;
+  if (unsafe_promise && !this->facts.IsRepeatable()) {
+    co_await this->Fail(status::bad_gateway, "endpoint_error");
+    co_return Step::kDone;
+  }
+  if (body.state == BodyState::kMore) {
+    co_return co_await this->PassLarge(attempt, std::move(answer), std::move(body.bytes));
+  }
+  EndpointEvidence::NotePace(lease.Endpoint(), net::Now() - this->facts.arrival);
+  net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
+  const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
+  const char* outcome = sent ? "served" : "gone";
+  this->Count(outcome, "answer");
+  this->LogOutcome(outcome, "answer", code);
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassLarge(EndpointAttempt& attempt, AnswerHead answer,
+                                                std::string begun) {
+  this->stream_begun = true;
+  bool sent = co_await this->session.BeginPieces(platform::EncodeAnswerHead(answer.head),
+                                                 this->WriteLimit());
+  BodyPiece piece{std::move(begun), BodyState::kMore};
+  while (sent) {
+    if (!piece.bytes.empty()) {
+      sent = co_await this->session.SendPiece(std::move(piece.bytes), this->WriteLimit());
+    }
+    if (!sent || piece.state != BodyState::kMore) {
+      break;
+    }
+    piece = co_await attempt.ReadPiece(this->facts.deadline);
+  }
+  if (!sent || piece.state != BodyState::kEnd) {
+    co_await this->Fail(status::bad_gateway, sent ? "body_cut" : "caller_closed");
+    co_return Step::kDone;
+  }
+  co_await this->session.EndPieces(this->WriteLimit());
+  this->Count("served", "answer");
+  this->LogOutcome("served", "answer", static_cast<int>(answer.head.result_int()));
+  co_return Step::kDone;
+}
+
+awaitable<bool> OnlineRun::BeginStream(const AnswerHead& answer) {
+  if (this->stream_begun) {
+    co_return true;
+  }
+  this->stream_begun = true;
+  this->first_event = net::Now();
+  this->gateway.metrics.GetLatency("gateway_first_event_seconds")
+      .Record(this->first_event - this->facts.arrival);
+  co_return co_await this->session.BeginPieces(platform::EncodeAnswerHead(answer.head),
+                                               this->WriteLimit());
+}
+
+awaitable<bool> OnlineRun::ForwardEvents(std::vector<StreamEvent> events,
+                                         const AnswerHead& answer) {
+  std::string bytes;
+  for (StreamEvent& event : events) {
+    const bool repeated = event.id && this->last_event && *event.id <= *this->last_event;
+    if (repeated) {
+      continue;
+    }
+    if (event.id) {
+      this->last_event = event.id;
+    }
+    bytes += event.bytes;
+  }
+  if (bytes.empty()) {
+    co_return true;
+  }
+  const bool begun = co_await this->BeginStream(answer);
+  if (!begun) {
+    co_return false;
+  }
+  co_return co_await this->session.SendPiece(std::move(bytes), this->WriteLimit());
+}
+
+awaitable<OnlineRun::Step> OnlineRun::EndStream(const std::string& rest, const AnswerHead& answer) {
+  bool sent = co_await this->BeginStream(answer);
+  if (sent && !rest.empty()) {
+    sent = co_await this->session.SendPiece(rest, this->WriteLimit());
+  }
+  if (sent) {
+    sent = co_await this->session.EndPieces(this->WriteLimit());
+  }
+  const char* outcome = sent ? "served" : "gone";
+  this->Count(outcome, "stream");
+  this->LogOutcome(outcome, "stream", static_cast<int>(answer.head.result_int()));
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassEvents(EndpointAttempt& attempt,
+                                                 const EndpointLease& lease, AnswerHead answer) {
+  EventCutter cutter;
+  net::SteadyTime last_arrival;
+  while (true) {
+    const net::SteadyTime now = net::Now();
+    const bool can_repeat = this->facts.IsRepeatable() && this->MayTryAgain();
+    const net::SteadyTime until =
+        this->stream_begun
+            ? AttemptPolicy::NextEventBy(*this->facts.route, now, this->facts.deadline, can_repeat)
+            : AttemptPolicy::AnswerBy(*this->facts.route, now, this->facts.deadline, can_repeat);
+    BodyPiece piece = co_await attempt.ReadPiece(until);
+    if (this->cancel.IsCancelled()) {
+      co_return Step::kDone;
+    }
+    std::vector<StreamEvent> events = cutter.Add(piece.bytes);
+    if (!events.empty()) {
+      const net::SteadyTime arrival = net::Now();
+      if (last_arrival != net::SteadyTime{}) {
+        EndpointEvidence::NotePace(lease.Endpoint(),
+                                   (arrival - last_arrival) / static_cast<int>(events.size()));
+      }
+      last_arrival = arrival;
+      const bool sent = co_await this->ForwardEvents(std::move(events), answer);
+      if (!sent) {
+        this->Count("gone", "caller_closed");
+        this->LogOutcome("gone", "caller_closed", 0);
+        this->session.Abort();
+        co_return Step::kDone;
+      }
+    }
+    if (piece.state == BodyState::kEnd) {
+      co_return co_await this->EndStream(cutter.Rest(), answer);
+    }
+    if (piece.state != BodyState::kMore) {
+      const char* cause = piece.state == BodyState::kTimedOut ? "stream_silent" : "stream_cut";
+      co_return co_await this->AfterFailure(lease, cause);
+    }
+  }
+}
+
+}  // namespace lentilhead::gateway::internal
--- /dev/null
+++ b/src/gateway/internal/online_run.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/attempt_policy.h"
+#include "gateway/caller_session.h"
+#include "gateway/gateway.h"
+#include "gateway/internal/endpoint_attempt.h"
+#include "gateway/internal/event_cutter.h"
+#include "gateway/types/request_facts.h"
+
+namespace lentilhead::gateway::internal {
+
+/// Serves one online request: waits for room, tries endpoints, and passes the answer on.
+class OnlineRun {
+ public:
+  OnlineRun(Gateway& gateway, CallerSession& session, CancelScope& cancel, RequestFacts facts);
+
+  /// Runs until the caller has a final answer or is gone.
+  net::asio::awaitable<void> Run();
+
+ private:
+  enum class Step { kDone, kTryAgain };
+
+  net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
+  net::asio::awaitable<Step> HandleAnswer(EndpointAttempt& attempt, const EndpointLease& lease,
+                                          AnswerHead answer);
+  net::asio::awaitable<Step> PassWhole(EndpointAttempt& attempt, const EndpointLease& lease,
+                                       AnswerHead answer);
+  net::asio::awaitable<Step> PassLarge(EndpointAttempt& attempt, AnswerHead answer,
+                                       std::string begun);
+  net::asio::awaitable<Step> PassEvents(EndpointAttempt& attempt, const EndpointLease& lease,
+                                        AnswerHead answer);
+  net::asio::awaitable<bool> ForwardEvents(std::vector<StreamEvent> events,
+                                           const AnswerHead& answer);
+  net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
+  net::asio::awaitable<Step> EndStream(const std::string& rest, const AnswerHead& answer);
+  net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
+  net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
+                                              EndpointAttempt& attempt);
+  net::asio::awaitable<void> Refuse(std::string_view reason);
+  net::asio::awaitable<void> Fail(net::http::status status, std::string_view reason);
+  net::asio::awaitable<void> GiveUpAtDeadline();
+
+  [[nodiscard]] bool MayTryAgain() const;
+  [[nodiscard]] net::SteadyTime WriteLimit() const;
+  void Count(const char* outcome, std::string_view reason);
+  void LogOutcome(std::string_view outcome, std::string_view reason, int status);
+
+  Gateway& gateway;
+  CallerSession& session;
+  CancelScope& cancel;
+  RequestFacts facts;
+  AttemptRecord record;
+  std::vector<std::string> tried;
+  std::string last_endpoint;
+  bool stream_begun = false;
+  std::optional<std::int64_t> last_event;
+  net::SteadyTime first_event;
+};
+
+}  // namespace lentilhead::gateway::internal
--- /dev/null
+++ b/src/gateway/internal/refusal_policy.cc
@@ -0,0 +1,29 @@
+#include "gateway/refusal_policy.h"
+
+#include <algorithm>
+
+namespace lentilhead::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kQueueShare =
+    0.22;  // of the objective; a caller refused by then can still be served
+constexpr milliseconds kUnstatedWait{100};
+constexpr milliseconds kFirstReturn{400};   // a place comes free every few 10 ms at each endpoint
+constexpr milliseconds kReturnSpread{900};  // so that refused callers do not come back together
+
+}  // namespace
+
+net::SteadyTime RefusalPolicy::WaitUntil(const Route& route, net::SteadyTime arrival,
+                                         net::SteadyTime deadline) {
+  const auto share = std::chrono::duration_cast<milliseconds>(kQueueShare * route.target_latency);
+  return std::min(deadline, arrival + (share.count() > 0 ? share : kUnstatedWait));
+}
+
+milliseconds RefusalPolicy::RetryAfter(double draw) {
+  return kFirstReturn + std::chrono::duration_cast<milliseconds>(draw * kReturnSpread);
+}
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/tests/attempt_policy_test.cc
@@ -0,0 +1,44 @@
+#include "gateway/attempt_policy.h"
+
+#include <doctest/doctest.h>
+
+#include "gateway/refusal_policy.h"
+
+namespace lentilhead::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+const net::SteadyTime kStart = net::SteadyTime{} + std::chrono::hours(1);
+
+TEST_CASE("a request that may have run is repeated only where that is allowed") {
+  Route route;
+  route.max_attempts = 3;
+  CHECK(AttemptPolicy::MayTryAgain(route, {1, false}, false));
+  CHECK_FALSE(AttemptPolicy::MayTryAgain(route, {1, true}, false));
+  CHECK(AttemptPolicy::MayTryAgain(route, {1, true}, true));
+  CHECK_FALSE(AttemptPolicy::MayTryAgain(route, {3, true}, true));
+}
+
+TEST_CASE("an endpoint is given up early only when another may take the request") {
+  Route route;
+  route.target_latency = milliseconds(300);
+  const net::SteadyTime deadline = kStart + milliseconds(5000);
+  CHECK(AttemptPolicy::AnswerBy(route, kStart, deadline, false) == deadline);
+  CHECK(AttemptPolicy::AnswerBy(route, kStart, deadline, true) < kStart + milliseconds(2000));
+  CHECK(AttemptPolicy::AnswerBy(route, kStart, kStart + milliseconds(50), true) ==
+        kStart + milliseconds(50));
+}
+
+TEST_CASE("a request that finds no room is refused while its caller can still be served in time") {
+  Route route;
+  route.target_latency = milliseconds(300);
+  const net::SteadyTime until =
+      RefusalPolicy::WaitUntil(route, kStart, kStart + milliseconds(5000));
+  CHECK(until > kStart);
+  CHECK(until <= kStart + route.target_latency / 4);
+  CHECK(RefusalPolicy::RetryAfter(0) < RefusalPolicy::RetryAfter(0.99));
+}
+
+}  // namespace
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/types/choice.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <memory>
+
+#include "gateway/types/endpoint_state.h"
+
+namespace lentilhead::gateway {
+
+/// Why no endpoint was chosen.
+enum class NoChoice {
+  kNone,       ///< an endpoint was chosen
+  kAllFull,    ///< every usable endpoint has as much work as it may have
+  kNotListed,  ///< no usable endpoint is listed
+};
+
+/// Outcome of choosing an endpoint.
+struct Choice {
+  std::shared_ptr<EndpointState> endpoint;
+  NoChoice reason = NoChoice::kNone;
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/types/endpoint_load.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+
+namespace lentilhead::gateway {
+
+/// Requests that one node has at one endpoint.
+struct EndpointLoad {
+  std::uint32_t endpoint_key = 0;  ///< hash of the endpoint's id
+  int online = 0;
+  int batch = 0;
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/types/endpoint_state.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "gateway/types/endpoint_entry.h"
+#include "gateway/types/reported_load.h"
+
+namespace lentilhead::gateway {
+
+/// What a node knows of an endpoint.
+struct EndpointState {
+  EndpointEntry entry;
+  std::uint32_t key = 0;  ///< hash of the id, as in load messages
+  bool listed = true;
+  net::SteadyTime usable_until = net::SteadyTime::max();  ///< an entry that lapsed in an outage
+  net::SteadyTime suspect_until;                          ///< set by failed attempts
+  int failures_in_row = 0;
+  int own_online = 0;
+  int own_batch = 0;
+  int peer_online = 0;
+  int peer_batch = 0;
+  std::optional<ReportedLoad> reported;
+  int own_at_report = 0;
+  net::SteadyTime reported_at;
+  double pace_ms = 0;   ///< smoothed time of a unit of work; 0 until one was seen
+  int connections = 0;  ///< open connections of this node
+
+  [[nodiscard]] int OwnTotal() const { return this->own_online + this->own_batch; }
+  [[nodiscard]] int Batch() const { return this->own_batch + this->peer_batch; }
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/gateway/types/serving_config.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "gateway/types/caller_limits.h"
+#include "gateway/types/route.h"
+#include "gateway/types/service.h"
+
+namespace lentilhead::gateway {
+
+/// One version of the operator's configuration.
+struct ServingConfig {
+  std::int64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+};
+
+}  // namespace lentilhead::gateway
--- /dev/null
+++ b/src/jobs/internal/job_ledger.cc
@@ -0,0 +1,89 @@
+#include "jobs/job_ledger.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+namespace lentilhead::jobs {
+
+JobLedger::JobLedger(JobSpec spec, const std::vector<ItemResult>& listed)
+    : spec(std::move(spec)), progress(this->spec.items.size()), listed(listed.size()) {
+  std::unordered_set<std::string> ended;
+  for (const ItemResult& result : listed) {
+    ended.insert(result.id);
+  }
+  for (std::size_t item = 0; item < this->spec.items.size(); ++item) {
+    if (ended.contains(this->spec.items[item].id)) {
+      this->progress[item].phase = ItemPhase::kEnded;
+    }
+  }
+}
+
+void JobLedger::Restore(std::size_t item, ItemProgress progress) {
+  if (item < this->progress.size() && this->progress[item].phase == ItemPhase::kWaiting) {
+    this->progress[item] = std::move(progress);
+  }
+}
+
+std::optional<std::size_t> JobLedger::NextItem(net::SteadyTime now) const {
+  for (std::size_t item = 0; item < this->progress.size(); ++item) {
+    if (this->progress[item].phase == ItemPhase::kWaiting &&
+        now >= this->progress[item].not_before) {
+      return item;
+    }
+  }
+  return std::nullopt;
+}
+
+void JobLedger::End(std::size_t item, ItemEnd end) {
+  ItemProgress& state = this->progress[item];
+  if (state.phase == ItemPhase::kEnded) {
+    return;
+  }
+  state.phase = ItemPhase::kEnded;
+  std::string output = std::exchange(state.output, std::string());
+  if (end == ItemEnd::kGivenUp) {
+    output.clear();
+  }
+  this->uncommitted.push_back({this->spec.items[item].id, end, std::move(output)});
+}
+
+void JobLedger::GiveUpRest() {
+  for (std::size_t item = 0; item < this->progress.size(); ++item) {
+    this->End(item, ItemEnd::kGivenUp);
+  }
+}
+
+std::vector<ItemResult> JobLedger::NextGroup(std::size_t most_bytes,
+                                             std::size_t most_results) const {
+  std::vector<ItemResult> group;
+  std::size_t bytes = 0;
+  for (const ItemResult& result : this->uncommitted) {
+    bytes += result.output.size();
+    if (group.size() >= most_results || (!group.empty() && bytes > most_bytes)) {
+      break;
+    }
+    group.push_back(result);
+  }
+  return group;
+}
+
+void JobLedger::NoteCommitted(std::size_t count) {
+  this->uncommitted.erase(this->uncommitted.begin(),
+                          this->uncommitted.begin() + static_cast<std::ptrdiff_t>(count));
+  this->listed += count;
+}
+
+std::vector<std::size_t> JobLedger::Begun() const {
+  std::vector<std::size_t> begun;
+  for (std::size_t item = 0; item < this->progress.size(); ++item) {
+    const ItemProgress& state = this->progress[item];
+    const bool started = state.last_event.has_value() || state.failures > 0;
+    if (state.phase != ItemPhase::kEnded && started) {
+      begun.push_back(item);
+    }
+  }
+  return begun;
+}
+
+}  // namespace lentilhead::jobs
--- /dev/null
+++ b/src/jobs/internal/job_store.cc
@@ -0,0 +1,249 @@
+#include "jobs/job_store.h"
+
+#include <algorithm>
+
+#include "jobs/internal/job_rows.h"
+#include "platform/job_codec.h"
+
+namespace lentilhead::jobs {
+
+namespace {
+
+using net::asio::awaitable;
+using rowstore::StoreError;
+
+constexpr std::size_t kRowsPerTransaction = 100;      // limit of the store
+constexpr std::size_t kTransactionBytes = 600 << 10;  // its limit of 1 MB, as base64 in JSON
+
+const rowstore::Row* FindRow(const std::vector<rowstore::Row>& rows, const rowstore::RowKey& key) {
+  const auto found = std::find_if(rows.begin(), rows.end(),
+                                  [&](const rowstore::Row& row) { return row.key == key; });
+  return found == rows.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+awaitable<ClaimOutcome> JobStore::ReadClaim(std::string job, net::SteadyTime deadline) {
+  const rowstore::RowKey key = internal::ClaimKey(job);
+  rowstore::RowRange range{key.table, key.part, key.key, key.key + '\x01'};
+  rowstore::ReadOutcome outcome = co_await this->store.Read(range, deadline);
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    co_return *error;
+  }
+  const rowstore::Row* row = FindRow(std::get<rowstore::ReadRows>(outcome).rows, key);
+  if (row == nullptr) {
+    co_return NoSuchJob{};
+  }
+  std::optional<Claim> claim = internal::DecodeClaim(*row);
+  if (!claim) {
+    co_return StoreError::kRejected;
+  }
+  co_return std::move(*claim);
+}
+
+awaitable<ClaimOutcome> JobStore::CommitWithClaim(rowstore::Transaction transaction, Claim intended,
+                                                  net::SteadyTime deadline) {
+  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
+  if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
+    intended.version = committed->version;
+    co_return intended;
+  }
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    co_return *error;
+  }
+  ClaimOutcome present = co_await this->ReadClaim(intended.job, deadline);
+  co_return present;
+}
+
+awaitable<CreateOutcome> JobStore::Create(Claim claim, std::string submission,
+                                          net::SteadyTime deadline) {
+  rowstore::Transaction transaction;
+  std::vector<rowstore::WrittenRow> rows =
+      internal::SpecRows(claim.job, submission, this->row_bytes);
+  if (rows.size() + 1 > kRowsPerTransaction || submission.size() > kTransactionBytes) {
+    const bool stored = co_await this->store.PutObject(claim.job, std::move(submission), deadline);
+    if (!stored) {
+      // An object without a claim is no job.
+      co_return CreateOutcome{StoreError::kNothingDone, false};
+    }
+    claim.spec_in_object = true;
+    rows.clear();
+  }
+  transaction.expected.push_back({internal::ClaimKey(claim.job), 0});
+  transaction.written = std::move(rows);
+  transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
+  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
+  if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
+    claim.version = committed->version;
+    co_return CreateOutcome{claim, true};
+  }
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    co_return CreateOutcome{*error, false};
+  }
+  ClaimOutcome present = co_await this->ReadClaim(claim.job, deadline);
+  co_return CreateOutcome{std::move(present), false};
+}
+
+awaitable<ClaimOutcome> JobStore::Replace(Claim claim, std::vector<rowstore::WrittenRow> progress,
+                                          net::SteadyTime deadline) {
+  rowstore::Transaction transaction;
+  transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
+  transaction.written = std::move(progress);
+  transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
+  co_return co_await this->CommitWithClaim(std::move(transaction), claim, deadline);
+}
+
+awaitable<ClaimOutcome> JobStore::Append(Claim claim, std::uint64_t position,
+                                         std::vector<ItemResult> results, bool is_last,
+                                         net::SteadyTime deadline) {
+  rowstore::Transaction transaction;
+  transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
+  transaction.expected.push_back({{internal::kResultTable, internal::PartOf(claim.job),
+                                   internal::ResultKey(claim.job, position, 0)},
+                                  0});
+  const std::uint64_t first_position = position;
+  for (const ItemResult& result : results) {
+    std::vector<rowstore::WrittenRow> rows =
+        internal::ResultRows(claim.job, position, result, this->row_bytes);
+    std::move(rows.begin(), rows.end(), std::back_inserter(transaction.written));
+    ++position;
+  }
+  const Claim before = claim;
+  if (is_last) {
+    claim.state = JobState::kDone;
+    transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
+  }
+  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    co_return *error;
+  }
+  if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
+    claim.version = is_last ? committed->version : before.version;
+    co_return claim;
+  }
+  const auto& rows = std::get<rowstore::Conflict>(outcome).rows;
+  const rowstore::Row* row = FindRow(rows, internal::ClaimKey(claim.job));
+  std::optional<Claim> present = row == nullptr ? std::nullopt : internal::DecodeClaim(*row);
+  if (!present || present->owner != before.owner) {
+    co_return co_await this->ReadClaim(claim.job, deadline);
+  }
+  // An earlier copy of this call may have applied: then these results are at the positions.
+  std::optional<std::vector<ItemResult>> listed =
+      co_await this->ReadResults(claim.job, first_position, deadline);
+  if (!listed) {
+    co_return StoreError::kUnknown;
+  }
+  const bool same = listed->size() >= results.size() &&
+                    std::equal(results.begin(), results.end(), listed->begin(),
+                               [](const ItemResult& left, const ItemResult& right) {
+                                 return left.id == right.id;
+                               });
+  if (!same) {
+    co_return StoreError::kRejected;
+  }
+  co_return std::move(*present);
+}
+
+awaitable<bool> JobStore::SaveProgress(Claim claim, std::size_t item, ItemProgress progress,
+                                       net::SteadyTime deadline) {
+  rowstore::Transaction transaction;
+  transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
+  transaction.written.push_back(internal::ProgressRow(claim.job, item, progress));
+  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
+  co_return std::holds_alternative<rowstore::Committed>(outcome);
+}
+
+awaitable<std::optional<JobSpec>> JobStore::ReadSpec(Claim claim, net::SteadyTime deadline) {
+  std::string text;
+  if (claim.spec_in_object) {
+    std::optional<std::string> object = co_await this->store.GetObject(claim.job, deadline);
+    if (!object) {
+      co_return std::nullopt;
+    }
+    text = std::move(*object);
+  } else {
+    rowstore::RowRange range = internal::RowsOfJob(internal::kSpecTable, claim.job);
+    rowstore::ReadOutcome outcome = co_await this->store.Read(range, deadline);
+    const auto* rows = std::get_if<rowstore::ReadRows>(&outcome);
+    if (rows == nullptr) {
+      co_return std::nullopt;
+    }
+    for (const rowstore::Row& row : rows->rows) {
+      text += row.value;
+    }
+  }
+  platform::SubmissionOutcome spec = platform::DecodeSubmission(text);
+  if (auto* decoded = std::get_if<JobSpec>(&spec)) {
+    co_return std::move(*decoded);
+  }
+  co_return std::nullopt;
+}
+
+awaitable<std::optional<StoredJob>> JobStore::ReadJob(Claim claim, net::SteadyTime deadline) {
+  StoredJob job;
+  std::optional<JobSpec> spec = co_await this->ReadSpec(claim, deadline);
+  if (!spec) {
+    co_return std::nullopt;
+  }
+  job.spec = std::move(*spec);
+  rowstore::RowRange result_range = internal::RowsOfJob(internal::kResultTable, claim.job);
+  rowstore::ReadOutcome results = co_await this->store.Read(result_range, deadline);
+  rowstore::RowRange progress_range = internal::RowsOfJob(internal::kProgressTable, claim.job);
+  rowstore::ReadOutcome progress = co_await this->store.Read(progress_range, deadline);
+  const auto* result_rows = std::get_if<rowstore::ReadRows>(&results);
+  const auto* progress_rows = std::get_if<rowstore::ReadRows>(&progress);
+  if (result_rows == nullptr || progress_rows == nullptr) {
+    co_return std::nullopt;
+  }
+  job.listed = internal::JoinResults(result_rows->rows);
+  for (const rowstore::Row& row : progress_rows->rows) {
+    if (auto decoded = internal::DecodeProgress(row)) {
+      job.progress.push_back(std::move(*decoded));
+    }
+  }
+  co_return job;
+}
+
+awaitable<std::optional<std::vector<ItemResult>>> JobStore::ReadResults(std::string job,
+                                                                        std::uint64_t after,
+                                                                        net::SteadyTime deadline) {
+  rowstore::RowRange range = internal::RowsOfJob(internal::kResultTable, job);
+  range.from = internal::ResultKey(job, after, 0);
+  range.first_page_only = true;
+  rowstore::ReadOutcome outcome = co_await this->store.Read(range, deadline);
+  const auto* rows = std::get_if<rowstore::ReadRows>(&outcome);
+  if (rows == nullptr) {
+    co_return std::nullopt;
+  }
+  co_return internal::JoinResults(rows->rows);
+}
+
+awaitable<void> JobStore::Remove(Claim claim, net::SteadyTime deadline) {
+  for (const char* table :
+       {internal::kProgressTable, internal::kResultTable, internal::kSpecTable}) {
+    rowstore::RowRange range = internal::RowsOfJob(table, claim.job);
+    rowstore::ReadOutcome outcome = co_await this->store.Read(range, deadline);
+    const auto* rows = std::get_if<rowstore::ReadRows>(&outcome);
+    if (rows == nullptr) {
+      co_return;
+    }
+    for (std::size_t start = 0; start < rows->rows.size(); start += kRowsPerTransaction) {
+      rowstore::Transaction transaction;
+      const std::size_t end = std::min(start + kRowsPerTransaction, rows->rows.size());
+      for (std::size_t index = start; index < end; ++index) {
+        transaction.removed.push_back(rows->rows[index].key);
+      }
+      rowstore::CommitOutcome removed =
+          co_await this->store.Commit(std::move(transaction), deadline);
+      if (!std::holds_alternative<rowstore::Committed>(removed)) {
+        co_return;
+      }
+    }
+  }
+  rowstore::Transaction last;
+  last.expected.push_back({internal::ClaimKey(claim.job), claim.version});
+  last.removed.push_back(internal::ClaimKey(claim.job));
+  co_await this->store.Commit(std::move(last), deadline);
+}
+
+}  // namespace lentilhead::jobs
--- /dev/null
+++ b/src/jobs/job_service.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+#include "jobs/internal/owned_job.h"
+#include "jobs/job_directory.h"
+#include "jobs/job_store.h"
+#include "peers/node_presence.h"
+#include "peers/peer_exchange.h"
+
+namespace lentilhead::jobs {
+
+/// Owns batch jobs: takes them over, runs their items in room that online work leaves, and lists
+/// their results.
+class JobService {
+ public:
+  JobService(gateway::Gateway& gateway, JobStore& store, peers::PeerExchange& peers,
+             peers::NodePresence& presence, std::chrono::milliseconds retention);
+
+  /// Takes over claims as read from the store.
+  void ReplaceClaims(const std::vector<rowstore::Row>& rows);
+  void ChangeClaims(const std::vector<rowstore::Row>& rows);
+
+  /// Starts work on a job that this node has just accepted.
+  void Begin(const Claim& claim, JobSpec spec);
+
+  /// Notes a claim that was learnt by a call.
+  void NoteClaim(const Claim& claim);
+
+  [[nodiscard]] const Claim* FindClaim(const std::string& job) const {
+    return this->directory.Find(job);
+  }
+
+  /// Looks after the jobs until the event loop stops.
+  net::asio::awaitable<void> Run();
+
+  /// Ends batch work at endpoints where online work waits.
+  void YieldToOnline();
+
+  /// Hands every job back, with how far its items have come.
+  net::asio::awaitable<void> HandOver();
+
+  /// Number of jobs that this node owns.
+  [[nodiscard]] std::size_t OwnedCount() const { return this->owned.size(); }
+
+ private:
+  using Job = std::shared_ptr<internal::OwnedJob>;
+
+  void Drop(const Job& job, std::string_view reason);
+  void StartItems();
+  bool StartNextItem();
+  void StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease);
+  void GiveUpLateItems(const Job& job);
+  void WatchRoute(const Job& job, bool exists);
+  void TakeOrphans();
+  void CollectOld();
+  [[nodiscard]] bool IsOrphan(const Claim& claim) const;
+  net::asio::awaitable<void> TakeOver(Claim claim);
+  net::asio::awaitable<void> RunItem(Job job, std::shared_ptr<internal::ItemRun> run,
+                                     gateway::EndpointLease lease);
+  net::asio::awaitable<void> Write(Job job);
+  net::asio::awaitable<void> HandOverJob(Job job);
+  net::asio::awaitable<void> SaveFailure(Job job, std::size_t item);
+  net::asio::awaitable<void> RemoveOld(Claim claim);
+
+  gateway::Gateway& gateway;
+  JobStore& store;
+  peers::PeerExchange& peers;
+  peers::NodePresence& presence;
+  std::chrono::milliseconds retention;
+  JobDirectory directory;
+  std::map<std::string, Job> owned;
+  std::map<std::string, bool> taking;  ///< jobs of which a take-over is under way
+  net::SteadyTime started;
+  net::SteadyTime last_collection;
+};
+
+}  // namespace lentilhead::jobs
--- /dev/null
+++ b/src/jobs/tests/job_rows_test.cc
@@ -0,0 +1,93 @@
+#include "jobs/internal/job_rows.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "jobs/job_directory.h"
+
+namespace lentilhead::jobs::internal {
+namespace {
+
+std::vector<rowstore::Row> Stored(const std::vector<rowstore::WrittenRow>& written) {
+  std::vector<rowstore::Row> rows;
+  for (const rowstore::WrittenRow& row : written) {
+    rows.push_back({row.key, row.value, 5, false});
+  }
+  std::sort(rows.begin(), rows.end(),
+            [](const auto& left, const auto& right) { return left.key.key < right.key.key; });
+  return rows;
+}
+
+TEST_CASE("a claim is read as it was written, and another layout is none") {
+  Claim claim;
+  claim.job = "j1";
+  claim.owner = "node#1";
+  claim.state = JobState::kEnded;
+  claim.total = 12;
+  claim.max_attempts = 3;
+  const std::optional<Claim> read = DecodeClaim({ClaimKey("j1"), EncodeClaim(claim), 9, false});
+  REQUIRE(read);
+  CHECK(read->owner == "node#1");
+  CHECK(read->state == JobState::kEnded);
+  CHECK(read->total == 12);
+  CHECK(read->version == 9);
+  CHECK_FALSE(DecodeClaim({ClaimKey("j1"), "garbage", 9, false}));
+}
+
+TEST_CASE("results of several rows are joined, and one whose rows are not all there is left out") {
+  std::vector<rowstore::WrittenRow> written;
+  for (std::uint64_t position = 0; position < 3; ++position) {
+    const ItemResult result{"i" + std::to_string(position), ItemEnd::kCompleted,
+                            std::string(300, static_cast<char>('a' + position))};
+    const auto rows = ResultRows("j1", position, result, 128);
+    CHECK(rows.size() > 1);
+    written.insert(written.end(), rows.begin(), rows.end());
+  }
+  std::vector<rowstore::Row> rows = Stored(written);
+  REQUIRE(JoinResults(rows).size() == 3);
+  CHECK(JoinResults(rows)[2].output == std::string(300, 'c'));
+  rows.pop_back();
+  CHECK(JoinResults(rows).size() == 2);
+}
+
+TEST_CASE("progress of an item is read as it was written") {
+  ItemProgress progress;
+  progress.output = "one\ntwo";
+  progress.last_event = 2;
+  progress.failures = 1;
+  const rowstore::WrittenRow row = ProgressRow("j1", 17, progress);
+  const auto read = DecodeProgress({row.key, row.value, 3, false});
+  REQUIRE(read);
+  CHECK(read->first == 17);
+  CHECK(read->second.output == "one\ntwo");
+  CHECK(read->second.last_event == 2);
+  CHECK(read->second.failures == 1);
+}
+
+TEST_CASE("exactly one live node is first to take a job over") {
+  const std::vector<std::string> alive = {"a#1", "b#1", "c#1"};
+  for (int job = 0; job < 50; ++job) {
+    const std::string id = "job-" + std::to_string(job);
+    const auto first = TakeoverPolicy::Delay(id, {}, "x");
+    const auto leaders = std::count_if(alive.begin(), alive.end(), [&](const std::string& node) {
+      return TakeoverPolicy::Delay(id, alive, node) == first;
+    });
+    CHECK(leaders == 1);
+  }
+}
+
+TEST_CASE("an older claim does not replace a newer one") {
+  JobDirectory directory;
+  Claim claim;
+  claim.job = "j1";
+  claim.version = 5;
+  CHECK(directory.Put(claim));
+  claim.version = 4;
+  claim.owner = "old";
+  CHECK_FALSE(directory.Put(claim));
+  CHECK(directory.Find("j1")->owner.empty());
+}
+
+}  // namespace
+}  // namespace lentilhead::jobs::internal
--- /dev/null
+++ b/src/jobs/types/item_result.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+
+namespace lentilhead::jobs {
+
+/// How an item ended.
+enum class ItemEnd {
+  kCompleted,  ///< the output is whole
+  kGivenUp,    ///< the item cannot be done, or its time is over
+};
+
+/// Result of an item, as it is listed.
+struct ItemResult {
+  std::string id;
+  ItemEnd end = ItemEnd::kCompleted;
+  std::string output;  ///< data of all events, joined by line feeds
+};
+
+}  // namespace lentilhead::jobs
--- /dev/null
+++ b/src/net/retry_pause.cc
@@ -0,0 +1,25 @@
+#include "net/retry_pause.h"
+
+#include <random>
+
+namespace lentilhead::net {
+
+namespace {
+
+std::minstd_rand& Generator() {
+  static std::minstd_rand generator{std::random_device{}()};
+  return generator;
+}
+
+}  // namespace
+
+std::size_t RandomBelow(std::size_t bound) {
+  return bound == 0 ? 0 : std::uniform_int_distribution<std::size_t>(0, bound - 1)(Generator());
+}
+
+std::chrono::milliseconds Jittered(std::chrono::milliseconds span) {
+  const auto half = static_cast<std::size_t>(span.count() / 2);
+  return span - std::chrono::milliseconds(RandomBelow(half + 1));
+}
+
+}  // namespace lentilhead::net
--- /dev/null
+++ b/src/net/tests/log_sink_test.cc
@@ -0,0 +1,72 @@
+#include "net/log_sink.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+
+namespace lentilhead::net {
+namespace {
+
+/// A pipe whose reader reads only when the test asks.
+class StoppedReader {
+ public:
+  StoppedReader() { REQUIRE(::pipe2(this->ends.data(), O_NONBLOCK) == 0); }
+  ~StoppedReader() {
+    ::close(this->ends[0]);
+    ::close(this->ends[1]);
+  }
+  [[nodiscard]] int WriteEnd() const { return this->ends[1]; }
+  [[nodiscard]] std::string ReadAll() const {
+    std::string all;
+    std::array<char, 4096> part{};
+    for (ssize_t size = 0; (size = ::read(this->ends[0], part.data(), part.size())) > 0;) {
+      all.append(part.data(), static_cast<std::size_t>(size));
+    }
+    return all;
+  }
+
+ private:
+  std::array<int, 2> ends{};
+};
+
+TEST_CASE("a reader that stops blocks nobody, and lost lines are counted") {
+  const StoppedReader reader;
+  LogSink sink(reader.WriteEnd(), {1000000, 64 << 10});
+  const std::string line(100, 'x');
+  constexpr int lines = 10000;  // far more than the pipe and the buffer hold
+  for (int count = 0; count < lines; ++count) {
+    sink.Append(line + "\n");
+  }
+  CHECK(sink.Suppressed() > 0);
+  std::string read = reader.ReadAll();
+  for (int count = 0; count < 100; ++count) {
+    sink.Flush();
+    read += reader.ReadAll();
+  }
+  CHECK(read.size() % (line.size() + 1) == 0);
+  CHECK(read.size() / (line.size() + 1) + sink.Suppressed() == lines);
+  CHECK(sink.TakeUnreported() == sink.Suppressed());
+  CHECK(sink.TakeUnreported() == 0);
+}
+
+TEST_CASE("the rate is bounded, and failures are kept before successes") {
+  const StoppedReader reader;
+  LogSink sink(reader.WriteEnd(), {100, 64 << 10});
+  const LogSink::Time now = std::chrono::steady_clock::now();
+  int routine = 0;
+  int notable = 0;
+  for (int count = 0; count < 1000; ++count) {
+    routine += sink.Admit(LogImportance::kRoutine, now) ? 1 : 0;
+  }
+  for (int count = 0; count < 1000; ++count) {
+    notable += sink.Admit(LogImportance::kNotable, now) ? 1 : 0;
+  }
+  CHECK(routine == 50);
+  CHECK(notable == 50);
+  CHECK(sink.Admit(LogImportance::kRoutine, now + std::chrono::seconds(1)));
+}
+
+}  // namespace
+}  // namespace lentilhead::net
--- a/src/online/internal/intent_events.h
+++ b/src/online/internal/intent_events.h
@@ -3,30 +3,30 @@
 #include <variant>
 #include <vector>
 
+#include "datastore/types/table_error.h"
+#include "datastore/types/table_row.h"
 #include "online/internal/attempt_effects.h"
-#include "platform/types/table_error.h"
-#include "platform/types/table_row.h"
 
 namespace lentilhead::online::internal {
 
 /// The last WriteRow succeeded.
 struct RowWritten {
-  platform::TableRow row;
+  datastore::TableRow row;
 };
 
 /// The last WriteRow failed.
 struct RowNotWritten {
-  platform::TableErrorKind kind;
+  datastore::TableErrorKind kind;
 };
 
 /// The last ReadRow found the row.
 struct RowRead {
-  platform::TableRow row;
+  datastore::TableRow row;
 };
 
 /// The last ReadRow failed.
 struct RowNotRead {
-  platform::TableErrorKind kind;
+  datastore::TableErrorKind kind;
 };
 
 /// The attempt ended with an endpoint's answer.
@@ -47,7 +47,7 @@
 
 /// Inserts the row if its etag is empty, replaces the row of that etag otherwise.
 struct WriteRow {
-  platform::TableRow row;
+  datastore::TableRow row;
   bool outcome = false;  ///< Records an outcome; retried long, while the caller waits briefly.
 };
 
--- a/src/online/internal/intent_machine.cc
+++ b/src/online/internal/intent_machine.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-using platform::TableErrorKind;
+using datastore::TableErrorKind;
 
 constexpr int kMaxClaims = 4;
 constexpr std::chrono::milliseconds kRetryAfter{1'000};
@@ -215,7 +215,7 @@
   this->Refuse(RefusalReason::kOutcomeUnknown, Outcome::kUnknown, false);
 }
 
-void IntentMachine::Settle(const platform::TableRow& row) {
+void IntentMachine::Settle(const datastore::TableRow& row) {
   const auto stored = ReadIntent(row.value);
   const bool own = stored && stored->state == IntentState::kPending && stored->owner == this->owner;
   if (!own || this->sent) {
--- a/src/online/internal/intent_machine.h
+++ b/src/online/internal/intent_machine.h
@@ -55,11 +55,11 @@
   void Claim(int run, const std::string& etag);
   void WriteRecord(bool outcome);
   void OnClaimed();
-  void OnClaimFailed(platform::TableErrorKind kind);
+  void OnClaimFailed(datastore::TableErrorKind kind);
   void OnRecorded(bool recorded);
   void AnswerFrom(const IntentRecord& record, const std::string& etag);
   void AnswerFromPending(const IntentRecord& record);
-  void Settle(const platform::TableRow& row);
+  void Settle(const datastore::TableRow& row);
   void Record(IntentState state);
   void Read();
   void Tell(IntentEffect effect);
--- a/src/online/internal/intent_record.h
+++ b/src/online/internal/intent_record.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string>
 
+#include "datastore/types/table_row.h"
 #include "framework/types/time_types.h"
 #include "online/internal/attempt_effects.h"
-#include "platform/types/table_row.h"
 
 namespace lentilhead::online::internal {
 
--- a/src/online/internal/intent_run.cc
+++ b/src/online/internal/intent_run.cc
@@ -79,7 +79,7 @@
                                                  [this] { this->Handle(RecordWaitElapsed{}); });
   }
   const auto patience = write.outcome ? kOutcomePatience : this->parts.settings.intent_patience;
-  this->parts.writer.Write(write.row, platform::WritePriority::kIntent, patience,
+  this->parts.writer.Write(write.row, datastore::WritePriority::kIntent, patience,
                            [self = this->shared_from_this()](auto reply) {
                              if (reply) {
                                self->Handle(RowWritten{reply.Value()});
--- a/src/online/internal/intent_sweeper.cc
+++ b/src/online/internal/intent_sweeper.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-IntentSweeper::IntentSweeper(platform::TableClient& table, framework::TimerService& timers,
+IntentSweeper::IntentSweeper(datastore::TableClient& table, framework::TimerService& timers,
                              framework::Metrics& metrics)
     : table(table),
       timers(timers),
@@ -29,9 +29,9 @@
   });
 }
 
-void IntentSweeper::DeleteExpired(const std::vector<platform::TableRow>& rows) {
+void IntentSweeper::DeleteExpired(const std::vector<datastore::TableRow>& rows) {
   int deletes = 0;
-  for (const platform::TableRow& row : rows) {
+  for (const datastore::TableRow& row : rows) {
     const auto record = ReadIntent(row.value);
     if (!record || record->expires_at > this->timers.WallNow()) {
       continue;
--- a/src/online/internal/intent_sweeper.h
+++ b/src/online/internal/intent_sweeper.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "datastore/table_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::online::internal {
 
@@ -12,16 +12,16 @@
 /// etag that was read, so a record that was claimed again stays.
 class IntentSweeper {
  public:
-  IntentSweeper(platform::TableClient& table, framework::TimerService& timers,
+  IntentSweeper(datastore::TableClient& table, framework::TimerService& timers,
                 framework::Metrics& metrics);
   IntentSweeper(const IntentSweeper&) = delete;
   IntentSweeper& operator=(const IntentSweeper&) = delete;
 
  private:
   void SweepNext();
-  void DeleteExpired(const std::vector<platform::TableRow>& rows);
+  void DeleteExpired(const std::vector<datastore::TableRow>& rows);
 
-  platform::TableClient& table;
+  datastore::TableClient& table;
   framework::TimerService& timers;
   framework::Counter& deleted;
   int partition;
--- a/src/online/internal/worker_parts.h
+++ b/src/online/internal/worker_parts.h
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_directory.h"
 #include "framework/http_client.h"
 #include "framework/timer_service.h"
 #include "online/internal/online_metrics.h"
 #include "online/internal/retry_budget.h"
 #include "online/online_settings.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 
 namespace lentilhead::online::internal {
 
@@ -17,8 +17,8 @@
   endpoint::EndpointDirectory& directory;
   framework::HttpClient& http;
   framework::TimerService& timers;
-  platform::TableClient& table;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ResolvedWriter& writer;
   OnlineMetrics& metrics;
   RetryBudget& budget;
 };
--- a/src/online/online_module.h
+++ b/src/online/online_module.h
@@ -5,6 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "endpoint/endpoint_directory.h"
 #include "endpoint/endpoint_settings.h"
 #include "framework/http_client.h"
@@ -14,8 +16,6 @@
 #include "online/caller_registry.h"
 #include "online/online_settings.h"
 #include "online/types/readiness.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_in_force.h"
 
 namespace lentilhead::online {
@@ -30,8 +30,8 @@
     framework::HttpClient& http;
     framework::TimerService& timers;
     framework::Metrics& metrics;
-    platform::TableClient& table;
-    platform::ResolvedWriter& writer;
+    datastore::TableClient& table;
+    datastore::ResolvedWriter& writer;
     const sheet::SheetInForce& sheet;
   };
 
