--- a/src/online/tests/intent_simulation.cc
+++ b/src/online/tests/intent_simulation.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-using platform::TableErrorKind;
+using datastore::TableErrorKind;
 using std::chrono::milliseconds;
 
 constexpr int kKeys = 4'000;
@@ -167,14 +167,14 @@
   if (lost && this->queue.Chance(0.5)) {
     // The write takes effect after its writer was told that the outcome is unknown.
     this->queue.After(this->queue.UpTo(3'000), [this, row = write.row] {
-      platform::TableRow ignored;
+      datastore::TableRow ignored;
       this->Store(row, &ignored);
     });
     this->Deliver(request, this->queue.UpTo(1'000),
                   internal::RowNotWritten{TableErrorKind::kOutcomeUnknown});
     return;
   }
-  platform::TableRow stored;
+  datastore::TableRow stored;
   const bool written = this->Store(write.row, &stored);
   const milliseconds delay =
       this->queue.Chance(0.05) ? this->queue.UpTo(5'000) : this->queue.UpTo(10);
@@ -187,7 +187,7 @@
   }
 }
 
-bool IntentSimulation::Store(const platform::TableRow& row, platform::TableRow* stored) {
+bool IntentSimulation::Store(const datastore::TableRow& row, datastore::TableRow* stored) {
   const auto found = this->rows.find(row.key);
   const std::string current = found == this->rows.end() ? "" : found->second.etag;
   const bool forgets = this->fault == PlantedFault::kTableForgetsRows && row.etag.empty();
--- a/src/online/tests/intent_simulation.h
+++ b/src/online/tests/intent_simulation.h
@@ -61,7 +61,7 @@
   void Apply(const RequestRef& request, const internal::IntentEffects& effects);
   void ApplyAttempt(const RequestRef& request, const internal::AttemptEffects& effects);
   void Write(const RequestRef& request, const internal::WriteRow& write);
-  bool Store(const platform::TableRow& row, platform::TableRow* stored);
+  bool Store(const datastore::TableRow& row, datastore::TableRow* stored);
   void Read(const RequestRef& request, const internal::ReadRow& read);
   void Send(const RequestRef& request);
   void Attempt(const RequestRef& request, int attempt);
@@ -73,7 +73,7 @@
   PlantedFault fault;
   OutcomeAuditor auditor;
   internal::RetryBudget budget{0.5, 1'000};
-  std::map<std::string, platform::TableRow> rows;
+  std::map<std::string, datastore::TableRow> rows;
   std::vector<RequestRef> requests;
   std::string last_answer;
   int next_etag = 1;
--- /dev/null
+++ b/src/peers/internal/peer_exchange.cc
@@ -0,0 +1,185 @@
+#include "peers/peer_exchange.h"
+
+#include <algorithm>
+
+#include "net/log_line.h"
+#include "net/retry_pause.h"
+
+namespace lentilhead::peers {
+
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{20};            // a change reaches peers within about two ticks
+constexpr milliseconds kIdlePeriod{300};     // a node without changes is heard of so often
+constexpr milliseconds kProbePeriod{1000};   // to addresses from which nothing was heard
+constexpr milliseconds kPeerLifetime{1500};  // five idle periods: some datagrams are lost
+constexpr double kPeriodPerPeerMs = 2.5;     // bounds the datagrams a node sends to 400 a second
+constexpr std::size_t kDatagramBytes = 16 << 10;  // 740 endpoints fit
+
+}  // namespace
+
+PeerExchange::PeerExchange(gateway::Gateway& gateway, ClusterView& view,
+                           const net::asio::ip::udp::endpoint& local, std::string name,
+                           std::string incarnation)
+    : gateway(gateway),
+      view(view),
+      socket(gateway.executor, local),
+      port(local.port()),
+      own_address(local.address()),
+      name(std::move(name)),
+      incarnation(std::move(incarnation)) {
+  this->socket.non_blocking(true);
+}
+
+void PeerExchange::AddCandidate(const Address& address) {
+  if (address != this->own_address) {
+    this->candidates.insert(address);
+  }
+}
+
+milliseconds PeerExchange::Period() const {
+  const auto scaled =
+      static_cast<std::int64_t>(kPeriodPerPeerMs * static_cast<double>(this->peers.size()));
+  return std::max(kTick, milliseconds(scaled));
+}
+
+void PeerExchange::SendToAll() {
+  const net::SteadyTime now = net::Now();
+  const bool probe = now - this->last_probe >= kProbePeriod;
+  if (probe) {
+    this->last_probe = now;
+  }
+  PeerMessage message{this->name,
+                      this->incarnation,
+                      ++this->sequence,
+                      this->gateway.routes.Version(),
+                      this->view.EndpointsVersion(),
+                      this->gateway.stopping,
+                      this->gateway.book.OwnLoads()};
+  const std::string bytes = Encode(message);
+  for (const Address& address : this->candidates) {
+    if (!probe && !this->peers.contains(address)) {
+      continue;
+    }
+    net::ErrorCode lost;  // a datagram that is not sent is like one that is lost on the way
+    this->socket.send_to(net::asio::buffer(bytes), {address, this->port}, 0, lost);
+  }
+  this->last_sent = now;
+  this->changed = false;
+}
+
+awaitable<void> PeerExchange::Send() {
+  net::asio::steady_timer timer(this->gateway.executor);
+  while (true) {
+    const net::SteadyTime now = net::Now();
+    const auto since = now - this->last_sent;
+    if (since >= kIdlePeriod || (this->changed && since >= this->Period())) {
+      this->SendToAll();
+    }
+    this->Expire();
+    timer.expires_after(kTick);
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+}
+
+awaitable<void> PeerExchange::Receive() {
+  std::string bytes(kDatagramBytes, '\0');
+  while (true) {
+    net::asio::ip::udp::endpoint sender;
+    const auto [error, size] = co_await this->socket.async_receive_from(
+        net::asio::buffer(bytes), sender, net::kAwaitWithError);
+    if (error == net::asio::error::operation_aborted) {
+      co_return;
+    }
+    if (!error) {
+      this->Handle(bytes.substr(0, size), sender.address());
+    }
+  }
+}
+
+void PeerExchange::Handle(const std::string& bytes, const Address& sender) {
+  PeerMessage message;
+  if (!Decode(bytes, message)) {
+    net::LogLine("peer_message_unreadable").With("peer", sender.to_string());
+    return;
+  }
+  this->AddCandidate(sender);
+  const auto known = this->peers.find(sender);
+  if (known == this->peers.end()) {
+    net::LogLine("peer_found").With("peer", message.name).With("start", message.incarnation);
+  } else if (known->second.last.incarnation == message.incarnation &&
+             message.sequence <= known->second.last.sequence) {
+    return;  // overtaken on the way
+  }
+  this->gateway.book.SetPeerLoad(message.name, message.loads);
+  this->peers[sender] = {std::move(message), net::Now()};
+  this->gateway.admission.Dispatch();
+}
+
+void PeerExchange::Expire() {
+  const net::SteadyTime now = net::Now();
+  std::erase_if(this->peers, [&](const auto& item) {
+    const Peer& peer = item.second;
+    if (now - peer.heard < kPeerLifetime) {
+      return false;
+    }
+    net::LogLine("peer_lost").With("peer", peer.last.name).With("start", peer.last.incarnation);
+    this->gateway.book.SetPeerLoad(peer.last.name, {});
+    return true;
+  });
+}
+
+void PeerExchange::NoteStandstill() {
+  for (auto& [address, peer] : this->peers) {
+    peer.heard = net::Now();
+  }
+}
+
+bool PeerExchange::IsAlive(const std::string& incarnation) const {
+  return incarnation == this->incarnation ||
+         std::any_of(this->peers.begin(), this->peers.end(),
+                     [&](const auto& item) { return item.second.last.incarnation == incarnation; });
+}
+
+bool PeerExchange::HasNewerStart(const std::string& incarnation) const {
+  const std::string node = incarnation.substr(0, incarnation.rfind('#'));
+  return std::any_of(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+    return item.second.last.name == node && item.second.last.incarnation != incarnation;
+  });
+}
+
+std::vector<std::string> PeerExchange::Alive() const {
+  std::vector<std::string> names;
+  for (const auto& [address, peer] : this->peers) {
+    if (!peer.last.is_leaving) {
+      names.push_back(peer.last.incarnation);
+    }
+  }
+  if (!this->gateway.stopping) {
+    names.push_back(this->incarnation);
+  }
+  return names;
+}
+
+PeerExchange::Address PeerExchange::PeerAhead(bool endpoints_too) const {
+  const auto ahead = std::find_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
+    const PeerMessage& last = item.second.last;
+    return last.config_version > this->gateway.routes.Version() ||
+           (endpoints_too && last.endpoints_version > this->view.EndpointsVersion());
+  });
+  return ahead == this->peers.end() ? Address() : ahead->first;
+}
+
+PeerExchange::Address PeerExchange::AnyPeer() const {
+  if (this->candidates.empty()) {
+    return {};
+  }
+  auto pick = this->candidates.begin();
+  std::advance(pick, static_cast<std::ptrdiff_t>(net::RandomBelow(this->candidates.size())));
+  return *pick;
+}
+
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/peers/internal/peer_message.cc
@@ -0,0 +1,53 @@
+#include "peers/types/peer_message.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lentilhead::peers {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t kFields = 7;
+
+}  // namespace
+
+std::string Encode(const PeerMessage& message) {
+  json loads = json::array();
+  for (const gateway::EndpointLoad& load : message.loads) {
+    loads.push_back(load.endpoint_key);
+    loads.push_back(load.online);
+    loads.push_back(load.batch);
+  }
+  const json fields = {message.name,           message.incarnation,       message.sequence,
+                       message.config_version, message.endpoints_version, message.is_leaving,
+                       std::move(loads)};
+  const std::vector<std::uint8_t> bytes = json::to_msgpack(fields);
+  return {bytes.begin(), bytes.end()};
+}
+
+bool Decode(const std::string& bytes, PeerMessage& message) {
+  const json fields = json::from_msgpack(bytes, true, false);
+  if (!fields.is_array() || fields.size() != kFields || !fields[6].is_array() ||
+      fields[6].size() % 3 != 0) {
+    return false;
+  }
+  try {
+    fields[0].get_to(message.name);
+    fields[1].get_to(message.incarnation);
+    fields[2].get_to(message.sequence);
+    fields[3].get_to(message.config_version);
+    fields[4].get_to(message.endpoints_version);
+    fields[5].get_to(message.is_leaving);
+    message.loads.clear();
+    for (std::size_t index = 0; index < fields[6].size(); index += 3) {
+      message.loads.push_back({fields[6][index].get<std::uint32_t>(),
+                               fields[6][index + 1].get<int>(), fields[6][index + 2].get<int>()});
+    }
+  } catch (const json::exception&) {
+    return false;  // a field of another type
+  }
+  return true;
+}
+
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/peers/peer_exchange.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "gateway/gateway.h"
+#include "peers/cluster_view.h"
+#include "peers/types/peer_message.h"
+
+namespace lentilhead::peers {
+
+/// Tells peers by datagram what this node has at the endpoints, and hears the same of them.
+class PeerExchange {
+ public:
+  using Address = net::asio::ip::address;
+
+  /// @param local address and port of the datagrams; peers use the same port.
+  /// @param name name of this node. @param incarnation name of this start of it.
+  PeerExchange(gateway::Gateway& gateway, ClusterView& view,
+               const net::asio::ip::udp::endpoint& local, std::string name,
+               std::string incarnation);
+
+  /// Adds an address at which a node may be.
+  void AddCandidate(const Address& address);
+
+  /// Notes that the own load has changed; peers hear of it soon.
+  void NoteLoadChange() { this->changed = true; }
+
+  /// Sends and receives until the event loop stops.
+  net::asio::awaitable<void> Send();
+  net::asio::awaitable<void> Receive();
+
+  /// Whether a start of a node was heard of lately, or is this one.
+  [[nodiscard]] bool IsAlive(const std::string& incarnation) const;
+
+  /// Whether a later start of the same node is heard.
+  [[nodiscard]] bool HasNewerStart(const std::string& incarnation) const;
+
+  /// Names of the starts of nodes that are alive and do not leave, this one included.
+  [[nodiscard]] std::vector<std::string> Alive() const;
+
+  /// Address of a live peer whose view is newer than this node's; unspecified if none is.
+  /// @param endpoints_too a newer list of endpoints counts.
+  [[nodiscard]] Address PeerAhead(bool endpoints_too) const;
+
+  /// Address of any peer or candidate, for a node that knows nothing; unspecified if none is known.
+  [[nodiscard]] Address AnyPeer() const;
+
+  /// Counts the time that this node stood still in favour of its peers.
+  void NoteStandstill();
+
+  [[nodiscard]] const std::string& Name() const { return this->name; }
+  [[nodiscard]] const std::string& Incarnation() const { return this->incarnation; }
+
+ private:
+  struct Peer {
+    PeerMessage last;
+    net::SteadyTime heard;
+  };
+
+  void Handle(const std::string& bytes, const Address& sender);
+  void Expire();
+  void SendToAll();
+  [[nodiscard]] std::chrono::milliseconds Period() const;
+
+  gateway::Gateway& gateway;
+  ClusterView& view;
+  net::asio::ip::udp::socket socket;
+  std::uint16_t port;
+  Address own_address;
+  std::string name;
+  std::string incarnation;
+  std::uint64_t sequence = 0;
+  bool changed = true;
+  net::SteadyTime last_sent;
+  net::SteadyTime last_probe;
+  std::set<Address> candidates;
+  std::map<Address, Peer> peers;
+};
+
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/peers/tests/peer_message_test.cc
@@ -0,0 +1,29 @@
+#include "peers/types/peer_message.h"
+
+#include <doctest/doctest.h>
+
+namespace lentilhead::peers {
+namespace {
+
+TEST_CASE("a message is read as it was written") {
+  const PeerMessage message{"node", "node#1", 7, 12, 530, true, {{99, 2, 1}, {100, 0, 3}}};
+  PeerMessage read;
+  REQUIRE(Decode(Encode(message), read));
+  CHECK(read.incarnation == "node#1");
+  CHECK(read.config_version == 12);
+  CHECK(read.is_leaving);
+  REQUIRE(read.loads.size() == 2);
+  CHECK(read.loads[1].batch == 3);
+}
+
+TEST_CASE("a datagram that is cut or of another kind is no message") {
+  const std::string bytes = Encode({"node", "node#1", 7, 12, 530, false, {{99, 2, 1}}});
+  PeerMessage read;
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    CHECK_FALSE(Decode(bytes.substr(0, size), read));
+  }
+  CHECK_FALSE(Decode("random bytes", read));
+}
+
+}  // namespace
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/peers/types/peer_message.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "gateway/types/endpoint_load.h"
+
+namespace lentilhead::peers {
+
+/// What a node tells its peers of itself, several times a second.
+struct PeerMessage {
+  std::string name;         ///< name of the node
+  std::string incarnation;  ///< name of this start of the node
+  std::uint64_t sequence = 0;
+  std::int64_t config_version = -1;
+  std::int64_t endpoints_version = 0;
+  bool is_leaving = false;
+  std::vector<gateway::EndpointLoad> loads;
+};
+
+/// Encodes a message for a datagram.
+[[nodiscard]] std::string Encode(const PeerMessage& message);
+
+/// Reads a datagram. @return false when it is no message.
+[[nodiscard]] bool Decode(const std::string& bytes, PeerMessage& message);
+
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/rowstore/row_store.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <string>
+
+#include "net/http_caller.h"
+#include "rowstore/types/commit_outcome.h"
+#include "rowstore/types/read_result.h"
+#include "rowstore/types/row_range.h"
+#include "rowstore/types/transaction.h"
+
+namespace lentilhead::rowstore {
+
+/// Client of the store of rows. Calls of one event loop only.
+class RowStore {
+ public:
+  /// @param address address of the store.
+  RowStore(const net::asio::any_io_executor& executor, const net::tcp::endpoint& address);
+
+  /// Changes the address of the store.
+  void SetAddress(const net::tcp::endpoint& address);
+
+  /// Applies a transaction, sending the same one again until its outcome is known.
+  ///
+  /// A copy whose answer was lost may still apply later, so a transaction must expect the
+  /// versions of the rows that it writes: then at most one copy applies.
+  /// @param deadline time after which no further copy is sent.
+  /// @return conflict also when an earlier copy of this call applied: the caller compares the
+  ///   rows; kNothingDone only when no copy can ever apply; kUnknown otherwise.
+  net::asio::awaitable<CommitOutcome> Commit(Transaction transaction, net::SteadyTime deadline);
+
+  /// Reads all rows of a range, in several calls where needed.
+  /// @param deadline time after which no further call is sent.
+  net::asio::awaitable<ReadOutcome> Read(RowRange range, net::SteadyTime deadline);
+
+  /// Waits for changes of a table; a single call.
+  net::asio::awaitable<ReadOutcome> WaitForChanges(std::string table, Version after,
+                                                   std::chrono::milliseconds wait);
+
+  /// Stores an object; the name must be used for one content only.
+  /// @return whether the object is stored for sure.
+  net::asio::awaitable<bool> PutObject(std::string name, std::string bytes,
+                                       net::SteadyTime deadline);
+
+  /// Reads an object. @return nothing when it could not be read.
+  net::asio::awaitable<std::optional<std::string>> GetObject(std::string name,
+                                                             net::SteadyTime deadline);
+
+ private:
+  net::asio::awaitable<ReadOutcome> ReadOnce(const RowRange& range, net::SteadyTime deadline);
+  net::asio::awaitable<void> Pause(std::chrono::milliseconds span);
+
+  net::asio::any_io_executor executor;
+  net::HttpCaller caller;
+};
+
+}  // namespace lentilhead::rowstore
--- /dev/null
+++ b/src/rowstore/table_follower.cc
@@ -0,0 +1,98 @@
+#include "rowstore/table_follower.h"
+
+#include <algorithm>
+
+#include "net/log_line.h"
+#include "net/retry_pause.h"
+
+namespace lentilhead::rowstore {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kReadLimit{
+    1500};  // a full read is tried for so long before it is begun anew
+constexpr milliseconds kErrorPause{250};  // after a call that failed
+
+}  // namespace
+
+TableFollower::TableFollower(net::asio::any_io_executor executor, RowStore& store,
+                             FollowedTable followed, SnapshotHandler on_snapshot,
+                             ChangesHandler on_changes)
+    : executor(std::move(executor)),
+      store(store),
+      followed(std::move(followed)),
+      on_snapshot(std::move(on_snapshot)),
+      on_changes(std::move(on_changes)) {}
+
+void TableFollower::NoteOutcome(bool answered, std::string_view cause) {
+  const net::SteadyTime now = net::Now();
+  if (answered) {
+    this->last_answer = now;
+  }
+  if (answered == this->reachable) {
+    return;
+  }
+  this->reachable = answered;
+  if (answered) {
+    this->reachable_since = now;
+  }
+  net::LogLine(answered ? "store_regained" : "store_lost")
+      .With("table", this->followed.table)
+      .With("version", this->version)
+      .With("cause", cause);
+}
+
+net::asio::awaitable<bool> TableFollower::ReadAll() {
+  ReadRows all;
+  for (const std::string& part : this->followed.parts) {
+    RowRange range{this->followed.table, part, "", ""};
+    ReadOutcome outcome = co_await this->store.Read(range, net::Now() + kReadLimit);
+    auto* read = std::get_if<ReadRows>(&outcome);
+    if (read == nullptr) {
+      this->NoteOutcome(false, NameOf(std::get<StoreError>(outcome)));
+      co_return false;
+    }
+    all.version = all.version == 0 ? read->version : std::min(all.version, read->version);
+    std::move(read->rows.begin(), read->rows.end(), std::back_inserter(all.rows));
+  }
+  this->NoteOutcome(true, "read");
+  this->version = all.version;
+  this->has_snapshot = true;
+  this->on_snapshot(all.rows, all.version);
+  co_return true;
+}
+
+net::asio::awaitable<bool> TableFollower::ReadChanges() {
+  ReadOutcome outcome =
+      co_await this->store.WaitForChanges(this->followed.table, this->version, this->followed.wait);
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    this->NoteOutcome(*error == StoreError::kHistoryGone, NameOf(*error));
+    this->has_snapshot = this->has_snapshot && *error != StoreError::kHistoryGone;
+    co_return *error == StoreError::kHistoryGone;
+  }
+  const auto& changes = std::get<ReadRows>(outcome);
+  this->NoteOutcome(true, "feed");
+  this->version = std::max(this->version, changes.version);
+  if (!changes.rows.empty()) {
+    this->on_changes(changes.rows, changes.version);
+  }
+  co_return true;
+}
+
+net::asio::awaitable<void> TableFollower::Run() {
+  while (true) {
+    bool answered = false;
+    if (this->has_snapshot) {
+      answered = co_await this->ReadChanges();
+    } else {
+      answered = co_await this->ReadAll();
+    }
+    net::asio::steady_timer timer(this->executor);
+    timer.expires_after(answered ? this->followed.pause : net::Jittered(kErrorPause));
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+}
+
+}  // namespace lentilhead::rowstore
--- a/src/sheet/internal/sheet_rows.cc
+++ b/src/sheet/internal/sheet_rows.cc
@@ -21,7 +21,7 @@
   value["digest"] = entry.digest;
 }
 
-std::optional<SheetHistoryEntry> ReadEntry(const platform::TableRow& row) {
+std::optional<SheetHistoryEntry> ReadEntry(const datastore::TableRow& row) {
   SheetHistoryEntry entry;
   try {
     entry.revision = row.value.at("revision").get<Revision>();
--- a/src/sheet/internal/sheet_rows.h
+++ b/src/sheet/internal/sheet_rows.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "platform/types/table_row.h"
+#include "datastore/types/table_row.h"
 #include "sheet/types/sheet_history_entry.h"
 
 namespace lentilhead::sheet::internal {
@@ -22,6 +22,6 @@
 void PutEntry(nlohmann::json& value, const SheetHistoryEntry& entry);
 
 /// Reads an entry. @return no value if the row is malformed.
-std::optional<SheetHistoryEntry> ReadEntry(const platform::TableRow& row);
+std::optional<SheetHistoryEntry> ReadEntry(const datastore::TableRow& row);
 
 }  // namespace lentilhead::sheet::internal
--- a/src/sheet/internal/sheet_store.cc
+++ b/src/sheet/internal/sheet_store.cc
@@ -9,9 +9,9 @@
 
 namespace lentilhead::sheet {
 
+using datastore::TableErrorKind;
+using datastore::TableRow;
 using framework::Reply;
-using platform::TableErrorKind;
-using platform::TableRow;
 
 namespace {
 
@@ -47,8 +47,8 @@
 /// The clients that the store reads through, for callbacks that outlive a call.
 class SheetStore::State : public std::enable_shared_from_this<State> {
  public:
-  State(platform::TableClient& table, platform::ObjectStoreClient& objects,
-        platform::ResolvedWriter& writer)
+  State(datastore::TableClient& table, datastore::ObjectStoreClient& objects,
+        datastore::ResolvedWriter& writer)
       : table(table), objects(objects), writer(writer) {}
 
   using EntryHandler =
@@ -63,9 +63,9 @@
   /// Looks for a revision in the history, then in the current row.
   void FetchRevisionEntry(Revision revision, SheetHandler handler);
 
-  platform::TableClient& table;
-  platform::ObjectStoreClient& objects;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ObjectStoreClient& objects;
+  datastore::ResolvedWriter& writer;
 };
 
 void SheetStore::State::FetchEntry(const char* partition, const std::string& key,
@@ -95,7 +95,7 @@
 void SheetStore::State::FetchBody(const SheetHistoryEntry& entry, SheetHandler handler) {
   this->objects.Get(internal::BodyKey(entry.digest),
                     [entry, handler = std::move(handler)](auto reply) {
-                      if (!reply && reply.Error().kind == platform::ObjectErrorKind::kNotFound) {
+                      if (!reply && reply.Error().kind == datastore::ObjectErrorKind::kNotFound) {
                         handler(InvalidBody("the body is missing"));
                         return;
                       }
@@ -107,8 +107,8 @@
                     });
 }
 
-SheetStore::SheetStore(platform::TableClient& table, platform::ObjectStoreClient& objects,
-                       platform::ResolvedWriter& writer)
+SheetStore::SheetStore(datastore::TableClient& table, datastore::ObjectStoreClient& objects,
+                       datastore::ResolvedWriter& writer)
     : state(std::make_shared<State>(table, objects, writer)) {}
 
 void SheetStore::Submit(std::string csv, Sheet sheet, Revision expected, std::string submitted_by,
--- a/src/sheet/internal/sheet_submission.cc
+++ b/src/sheet/internal/sheet_submission.cc
@@ -7,9 +7,9 @@
 
 namespace lentilhead::sheet::internal {
 
-using platform::TableErrorKind;
-using platform::TableRow;
-using platform::WritePriority;
+using datastore::TableErrorKind;
+using datastore::TableRow;
+using datastore::WritePriority;
 
 namespace {
 
@@ -25,9 +25,9 @@
 
 }  // namespace
 
-SheetSubmission::SheetSubmission(std::weak_ptr<const void> store, platform::TableClient& table,
-                                 platform::ObjectStoreClient& objects,
-                                 platform::ResolvedWriter& writer,
+SheetSubmission::SheetSubmission(std::weak_ptr<const void> store, datastore::TableClient& table,
+                                 datastore::ObjectStoreClient& objects,
+                                 datastore::ResolvedWriter& writer,
                                  std::shared_ptr<const AcceptedSheet> accepted,
                                  std::string submitted_by, SheetStore::SheetHandler handler)
     : store(std::move(store)),
--- a/src/sheet/internal/sheet_submission.h
+++ b/src/sheet/internal/sheet_submission.h
@@ -4,10 +4,10 @@
 #include <memory>
 #include <string>
 
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "framework/backoff.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/sheet_store.h"
 #include "sheet/types/sheet_history_entry.h"
 
@@ -18,8 +18,8 @@
 class SheetSubmission : public std::enable_shared_from_this<SheetSubmission> {
  public:
   /// @param store ends the submission without a report when it expires.
-  SheetSubmission(std::weak_ptr<const void> store, platform::TableClient& table,
-                  platform::ObjectStoreClient& objects, platform::ResolvedWriter& writer,
+  SheetSubmission(std::weak_ptr<const void> store, datastore::TableClient& table,
+                  datastore::ObjectStoreClient& objects, datastore::ResolvedWriter& writer,
                   std::shared_ptr<const AcceptedSheet> accepted, std::string submitted_by,
                   SheetStore::SheetHandler handler);
 
@@ -28,8 +28,8 @@
  private:
   void PutBody();
   void ReadCurrent();
-  void RecordCurrent(const platform::TableRow& current);
-  void ReplaceCurrent(platform::TableRow current);
+  void RecordCurrent(const datastore::TableRow& current);
+  void ReplaceCurrent(datastore::TableRow current);
   void ReportConflict();
 
   /// Does a step again after a delay, or fails when no attempt is left.
@@ -37,9 +37,9 @@
   void Fail(SheetStoreErrorKind kind, std::string detail);
 
   std::weak_ptr<const void> store;
-  platform::TableClient& table;
-  platform::ObjectStoreClient& objects;
-  platform::ResolvedWriter& writer;
+  datastore::TableClient& table;
+  datastore::ObjectStoreClient& objects;
+  datastore::ResolvedWriter& writer;
   std::shared_ptr<const AcceptedSheet> accepted;
   SheetHistoryEntry entry;
   SheetStore::SheetHandler handler;
--- a/src/sheet/sheet_store.h
+++ b/src/sheet/sheet_store.h
@@ -7,10 +7,10 @@
 #include <variant>
 #include <vector>
 
+#include "datastore/object_store_client.h"
+#include "datastore/resolved_writer.h"
+#include "datastore/table_client.h"
 #include "framework/result.h"
-#include "platform/object_store_client.h"
-#include "platform/resolved_writer.h"
-#include "platform/table_client.h"
 #include "sheet/types/sheet.h"
 #include "sheet/types/sheet_history_entry.h"
 #include "sheet/types/sheet_store_error.h"
@@ -26,8 +26,8 @@
   using HistoryHandler =
       std::function<void(framework::Reply<std::vector<SheetHistoryEntry>, SheetStoreError>)>;
 
-  SheetStore(platform::TableClient& table, platform::ObjectStoreClient& objects,
-             platform::ResolvedWriter& writer);
+  SheetStore(datastore::TableClient& table, datastore::ObjectStoreClient& objects,
+             datastore::ResolvedWriter& writer);
 
   /// Stores a parsed sheet as the next revision.
   /// @param expected revision that the operator saw; another current revision is a conflict that
--- a/src/sheet/tests/sheet_race_test.cc
+++ b/src/sheet/tests/sheet_race_test.cc
@@ -81,10 +81,10 @@
   }
 
   std::string name;
-  platform::TableClient table;
-  platform::ObjectStoreClient objects;
-  platform::WriteBudget budget{100'000};
-  platform::ResolvedWriter writer;
+  datastore::TableClient table;
+  datastore::ObjectStoreClient objects;
+  datastore::WriteBudget budget{100'000};
+  datastore::ResolvedWriter writer;
   SheetStore store{table, objects, writer};
   Record& record;
   Revision known = 0;
--- a/src/sheet/tests/sheet_store_test.cc
+++ b/src/sheet/tests/sheet_store_test.cc
@@ -22,10 +22,10 @@
 }
 
 struct StoreFixture : PlatformFixture {
-  platform::TableClient table{settings, http, metrics};
-  platform::ObjectStoreClient objects{settings, http, metrics};
-  platform::WriteBudget budget{1'000};
-  platform::ResolvedWriter writer{"writer", table, budget, *timers, metrics};
+  datastore::TableClient table{settings, http, metrics};
+  datastore::ObjectStoreClient objects{settings, http, metrics};
+  datastore::WriteBudget budget{1'000};
+  datastore::ResolvedWriter writer{"writer", table, budget, *timers, metrics};
   SheetStore store{table, objects, writer};
 
   SheetReply Submit(int capacity, Revision expected, const std::string& by) {
--- a/standin/platform/platform_fixture.h
+++ b/standin/platform/platform_fixture.h
@@ -6,10 +6,10 @@
 #include <optional>
 #include <utility>
 
+#include "datastore/platform_settings.h"
 #include "framework/http_client.h"
 #include "framework/metrics.h"
 #include "framework/timer_service.h"
-#include "platform/platform_settings.h"
 #include "standin/platform/platform_server.h"
 
 namespace lentilhead::standin {
@@ -54,7 +54,7 @@
   PlatformServer server;
   framework::HttpClient http;
   framework::Metrics metrics;
-  platform::PlatformSettings settings;
+  datastore::PlatformSettings settings;
 };
 
 }  // namespace lentilhead::standin
