Pass store calls through a peer while the store turns this node away

Seen beside it: two dark runners cost each node its own time-outs, and a 421 (the address has another runner) was met again and again by every node.

Change: StorePath decides between the direct way and a peer that the store serves; peers say in their datagrams whether it does. Runners that a node found out of reach are named there too and avoided for half a second unless they answer here; after a 421 a runner is avoided until its entry changes. A connection that is not open within 150 ms is given up for another runner. Jobs are handed over side by side, so that a stop fits its grace when the store is down.

Ruled out: moving such jobs to other owners, since the claim could not be written either; a longer wait, since items are due in 18 s.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -40,6 +40,7 @@
 constexpr milliseconds kListenerLinger{3000};  // callers' connections still arrive for so long
 constexpr milliseconds kExitMargin{1200};      // before the end of the stop's grace
 constexpr milliseconds kLeavePoll{50};
+constexpr char kViewPath[] = "/view";
 constexpr int kSettingsCheckTicks = 10;  // maintenance periods between looks at the file
 
 std::chrono::nanoseconds BootTime() {
@@ -94,17 +95,16 @@
       claim_follower(this->MakeClaimFollower()),
       callers(this->executor),
       readiness(this->executor, "readiness",
-                [this](const net::Request& request, const net::tcp::endpoint&) {
-                  return this->AnswerReadiness(request);
+                [this](net::Request request, const net::tcp::endpoint&) {
+                  return this->AnswerReadiness(std::move(request));
                 }),
       peer_views(this->executor, "peers",
-                 [this](const net::Request&, const net::tcp::endpoint& caller) {
-                   this->peers.AddCandidate(caller.address());
-                   return this->AnswerPeer();
+                 [this](net::Request request, net::tcp::endpoint caller) {
+                   return this->AnswerPeer(std::move(request), std::move(caller));
                  }),
       metrics(this->executor, "metrics",
-              [this](const net::Request& request, const net::tcp::endpoint&) {
-                return this->AnswerMetrics(request);
+              [this](net::Request request, const net::tcp::endpoint&) {
+                return this->AnswerMetrics(std::move(request));
               }),
       signals(this->executor, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -189,6 +189,14 @@
     this->peers.NoteLoadChange();
     net::asio::post(this->executor, [this] { this->gateway.admission.Dispatch(); });
   });
+  this->store.SetRelayFinder([this]() -> std::optional<net::tcp::endpoint> {
+    const net::asio::ip::address peer = this->peers.PeerWithStore();
+    if (peer.is_unspecified()) {
+      return std::nullopt;
+    }
+    return net::tcp::endpoint(peer, PeerListener(this->settings).port());
+  });
+  this->peers.SetStoreServed([this] { return this->store.IsServed(); });
   this->Spawn(this->config_follower.Run());
   this->Spawn(this->endpoint_follower.Run());
   this->Spawn(this->node_follower.Run());
@@ -233,30 +241,34 @@
          !this->gateway.stopping;
 }
 
-net::Response NodeProgram::AnswerReadiness(const net::Request& request) const {
+awaitable<net::Response> NodeProgram::AnswerReadiness(net::Request request) {
   const std::string path(request.target().substr(0, request.target().find('?')));
   if (!platform::IsReadinessPath(path)) {
-    return gateway::MakeFailure(status::not_found, "no_such_call");
+    co_return gateway::MakeFailure(status::not_found, "no_such_call");
   }
-  return this->IsReady() ? net::Response(status::ok, 11)
-                         : gateway::MakeFailure(status::service_unavailable, "not_ready");
+  co_return this->IsReady() ? net::Response(status::ok, 11)
+                            : gateway::MakeFailure(status::service_unavailable, "not_ready");
 }
 
-net::Response NodeProgram::AnswerPeer() const {
+awaitable<net::Response> NodeProgram::AnswerPeer(net::Request request, net::tcp::endpoint caller) {
+  this->peers.AddCandidate(caller.address());
+  if (request.target() != kViewPath) {
+    co_return co_await this->store.PassOn(std::move(request));
+  }
   net::Response response(status::ok, 11);
   response.set(net::http::field::content_type, "application/msgpack");
   response.body() = this->view.Encode();
-  return response;
+  co_return response;
 }
 
-net::Response NodeProgram::AnswerMetrics(const net::Request& request) const {
+awaitable<net::Response> NodeProgram::AnswerMetrics(net::Request request) {
   if (request.method() != net::http::verb::get) {
-    return gateway::MakeFailure(status::method_not_allowed, "get_expected");
+    co_return gateway::MakeFailure(status::method_not_allowed, "get_expected");
   }
   net::Response response(status::ok, 11);
   response.set(net::http::field::content_type, "text/plain; version=0.0.4");
   response.body() = this->gateway.metrics.Render();
-  return response;
+  co_return response;
 }
 
 awaitable<void> NodeProgram::AwaitSignals() {
@@ -308,14 +320,15 @@
       .With("at_work", this->gate.RequestsAtWork())
       .With("sessions", this->gate.OpenSessions())
       .With("jobs", this->job_service.OwnedCount());
-  co_await this->job_service.HandOver();
+  this->Spawn(this->job_service.HandOver());
   const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
   net::asio::steady_timer timer(this->executor);
   while (net::Now() < end) {
     const bool lingered = net::Now() - start >= kListenerLinger;
     if (lingered) {
       this->gate.CloseIdle();
-      if (this->gate.RequestsAtWork() == 0 && this->gate.OpenSessions() == 0) {
+      if (this->gate.RequestsAtWork() == 0 && this->gate.OpenSessions() == 0 &&
+          this->job_service.OwnedCount() == 0) {
         break;
       }
     }
@@ -377,7 +390,7 @@
 
 awaitable<void> NodeProgram::FetchView(net::asio::ip::address peer, bool endpoints_too) {
   net::HttpCaller caller(this->executor, {peer, PeerListener(this->settings).port()});
-  net::Request request(net::http::verb::get, "/view", 11);
+  net::Request request(net::http::verb::get, kViewPath, 11);
   net::HttpCaller::Outcome outcome = co_await caller.Call(std::move(request), kRelayTimeout);
   const auto* response = std::get_if<net::Response>(&outcome);
   if (response == nullptr || response->result() != status::ok) {
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -35,9 +35,9 @@
   [[nodiscard]] rowstore::TableFollower MakeClaimFollower();
   [[nodiscard]] net::SteadyTime KeepMissingUntil() const;
   [[nodiscard]] bool IsReady() const;
-  [[nodiscard]] net::Response AnswerReadiness(const net::Request& request) const;
-  [[nodiscard]] net::Response AnswerPeer() const;
-  [[nodiscard]] net::Response AnswerMetrics(const net::Request& request) const;
+  net::asio::awaitable<net::Response> AnswerReadiness(net::Request request);
+  net::asio::awaitable<net::Response> AnswerPeer(net::Request request, net::tcp::endpoint caller);
+  net::asio::awaitable<net::Response> AnswerMetrics(net::Request request);
   net::asio::awaitable<void> AwaitSignals();
   net::asio::awaitable<void> Leave();
   net::asio::awaitable<void> Maintain();
--- a/src/apps/node/small_server.cc
+++ b/src/apps/node/small_server.cc
@@ -71,9 +71,9 @@
     if (read_error) {
       break;
     }
-    net::Response response = this->handler(request, caller);
-    response.version(11);
     keep_alive = request.keep_alive();
+    net::Response response = co_await this->handler(std::move(request), caller);
+    response.version(11);
     response.keep_alive(keep_alive);
     response.prepare_payload();
     const auto [write_error, written] =
--- a/src/apps/node/small_server.h
+++ b/src/apps/node/small_server.h
@@ -6,11 +6,11 @@
 
 namespace lentilhead::node {
 
-/// Answers small calls that need no waiting, such as readiness and metrics.
+/// Answers calls other than those of callers: readiness, peers and metrics.
 class SmallServer {
  public:
-  using Handler =
-      std::function<net::Response(const net::Request& request, const net::tcp::endpoint& caller)>;
+  using Handler = std::function<net::asio::awaitable<net::Response>(net::Request request,
+                                                                    net::tcp::endpoint caller)>;
 
   /// @param name name in logs.
   SmallServer(const net::asio::any_io_executor& executor, std::string name, Handler handler);
--- a/src/gateway/endpoint_book.h
+++ b/src/gateway/endpoint_book.h
@@ -41,6 +41,12 @@
   /// Replaces what a peer has at the endpoints; an empty list when the peer is gone.
   void SetPeerLoad(const std::string& peer, const std::vector<EndpointLoad>& loads);
 
+  /// Keys of the endpoints that this node found out of reach lately.
+  [[nodiscard]] std::vector<std::uint32_t> Unreachable(net::SteadyTime now) const;
+
+  /// Notes endpoints that a peer found out of reach.
+  void NotePeerSuspects(const std::vector<std::uint32_t>& keys, net::SteadyTime now);
+
   /// What this node has at the endpoints.
   [[nodiscard]] std::vector<EndpointLoad> OwnLoads() const;
 
@@ -80,10 +86,14 @@
 class EndpointEvidence {
  public:
   /// The endpoint answered.
-  static void NoteAnswer(EndpointState& state);
+  static void NoteAnswer(EndpointState& state, net::SteadyTime now);
+
+  /// The endpoint broke off, or could not be reached.
+  /// @param out_of_reach it could not be reached, or is silent: other nodes meet the same.
+  static void NoteFailure(EndpointState& state, net::SteadyTime now, bool out_of_reach);
 
-  /// The endpoint could not be reached, or broke off.
-  static void NoteFailure(EndpointState& state, net::SteadyTime now);
+  /// Another endpoint has the address now.
+  static void NoteReplaced(EndpointState& state, net::SteadyTime now);
 
   /// The endpoint stated its load.
   static void NoteLoad(EndpointState& state, const ReportedLoad& load, net::SteadyTime now);
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -12,7 +12,7 @@
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kConnectLimit{400};   // far above a round trip; a full backlog drops for 1 s
+constexpr milliseconds kConnectLimit{150};   // far above a round trip; another endpoint is near
 constexpr milliseconds kSilenceLimit{2000};  // as long as callers wait for the next event
 constexpr milliseconds kIdleMargin{700};     // reuse ends so long before the endpoint's idle limit
 constexpr milliseconds kUnstatedIdleLimit{1000};  // endpoints that state none close soon after
--- a/src/gateway/internal/endpoint_book.cc
+++ b/src/gateway/internal/endpoint_book.cc
@@ -19,6 +19,7 @@
 constexpr milliseconds kReportLifetime{400};  // load reports are some 100 ms old on arrival
 constexpr double kLargestSlowness = 8;        // bounds how far a slow endpoint is avoided
 constexpr double kSlownessFloor = 1.5;        // below, differences of pace are left to chance
+constexpr milliseconds kPeerSuspicion{500};   // reports are repeated while they hold
 constexpr double kZoneAdvantage = 0.02;       // breaks ties towards the own zone
 
 bool IsUsable(const EndpointState& state, net::SteadyTime now) {
@@ -31,6 +32,13 @@
                                     : total < slots - std::min(kBatchHeadroom, slots - 1);
 }
 
+/// An own answer since the peers' report outweighs it.
+bool IsSuspect(const EndpointState& state, net::SteadyTime now) {
+  const bool peers_suspect =
+      now < state.peers_suspect_until && now - state.last_answer > kPeerSuspicion;
+  return now < state.suspect_until || peers_suspect;
+}
+
 }  // namespace
 
 std::uint32_t EndpointKey(const std::string& id) { return XXH32(id.data(), id.size(), 0); }
@@ -141,7 +149,7 @@
     if (best.reason == NoChoice::kNotListed) {
       best.reason = NoChoice::kAllFull;
     }
-    const bool suspect = now < state->suspect_until;
+    const bool suspect = IsSuspect(*state, now);
     if (!HasRoom(*state, request.work, EstimatedTotal(*state, now)) ||
         (suspect && request.work == WorkClass::kBatch)) {
       continue;
@@ -182,6 +190,24 @@
   }
 }
 
+std::vector<std::uint32_t> EndpointBook::Unreachable(net::SteadyTime now) const {
+  std::vector<std::uint32_t> keys;
+  for (const auto& [id, state] : this->endpoints) {
+    if (state->out_of_reach && now < state->suspect_until) {
+      keys.push_back(state->key);
+    }
+  }
+  return keys;
+}
+
+void EndpointBook::NotePeerSuspects(const std::vector<std::uint32_t>& keys, net::SteadyTime now) {
+  for (const std::uint32_t key : keys) {
+    if (const auto found = this->by_key.find(key); found != this->by_key.end()) {
+      found->second->peers_suspect_until = now + kPeerSuspicion;
+    }
+  }
+}
+
 std::vector<EndpointLoad> EndpointBook::OwnLoads() const {
   std::vector<EndpointLoad> loads;
   for (const auto& [id, state] : this->endpoints) {
--- a/src/gateway/internal/endpoint_evidence.cc
+++ b/src/gateway/internal/endpoint_evidence.cc
@@ -8,24 +8,33 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFirstSuspicion{300};     // a single failure is often of one connection
-constexpr milliseconds kLongestSuspicion{3000};  // an endpoint that is back is noticed by then
+constexpr milliseconds kFirstSuspicion{300};       // a single failure is often of one connection
+constexpr milliseconds kLongestSuspicion{3000};    // an endpoint that is back is noticed by then
+constexpr milliseconds kReplacedSuspicion{10000};  // its entry lapses long before
 constexpr int kLargestExponent = 5;
 constexpr double kPaceWeight = 0.15;  // of the newest sample; some ten samples decide
 
 }  // namespace
 
-void EndpointEvidence::NoteAnswer(EndpointState& state) {
+void EndpointEvidence::NoteAnswer(EndpointState& state, net::SteadyTime now) {
   state.failures_in_row = 0;
   state.suspect_until = {};
+  state.out_of_reach = false;
+  state.last_answer = now;
 }
 
-void EndpointEvidence::NoteFailure(EndpointState& state, net::SteadyTime now) {
+void EndpointEvidence::NoteReplaced(EndpointState& state, net::SteadyTime now) {
+  state.suspect_until = now + kReplacedSuspicion;
+  state.out_of_reach = true;
+}
+
+void EndpointEvidence::NoteFailure(EndpointState& state, net::SteadyTime now, bool out_of_reach) {
   const milliseconds span =
       std::min(kFirstSuspicion * (1 << std::min(state.failures_in_row, kLargestExponent)),
                kLongestSuspicion);
   ++state.failures_in_row;
   state.suspect_until = now + span;
+  state.out_of_reach = out_of_reach;
 }
 
 void EndpointEvidence::NoteLoad(EndpointState& state, const ReportedLoad& load,
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -19,6 +19,7 @@
 constexpr milliseconds kWriteGrace{1000};  // an answer that is ready is written past the deadline
 constexpr milliseconds kSafeIdle{400};     // a connection idle for less is not about to be closed
 constexpr std::size_t kWholeBytes = 256 << 10;  // answers up to this size are checked whole first
+constexpr std::string_view kSilentStream = "stream_silent";
 constexpr double kDrawSteps = 1000;
 
 double Draw() { return static_cast<double>(net::RandomBelow(1000)) / kDrawSteps; }
@@ -173,7 +174,9 @@
 
 awaitable<OnlineRun::Step> OnlineRun::AfterFailure(const EndpointLease& lease,
                                                    std::string_view cause) {
-  EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now());
+  const bool out_of_reach = cause == NameOf(AttemptFailure::kNotSent) ||
+                            cause == NameOf(AttemptFailure::kTimedOut) || cause == kSilentStream;
+  EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(), out_of_reach);
   this->gateway.metrics
       .GetCounter("gateway_attempt_failures_total", {{"cause", std::string(cause)}})
       .Add();
@@ -210,7 +213,7 @@
                   {{"status", std::to_string(answer.head.result_int())}})
       .Add();
   if (answer.facts.other_instance) {
-    EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now());
+    EndpointEvidence::NoteReplaced(lease.Endpoint(), net::Now());
     co_return Step::kTryAgain;
   }
   ++this->record.sent;
@@ -233,7 +236,7 @@
   }
   ++this->record.sent;
   this->record.maybe_run = !answer.facts.not_executed || this->record.maybe_run;
-  EndpointEvidence::NoteAnswer(lease.Endpoint());
+  EndpointEvidence::NoteAnswer(lease.Endpoint(), net::Now());
   const bool is_success = code / 100 == 2;
   if (is_success && !answer.facts.is_signed) {
     attempt.Abort();
@@ -392,7 +395,8 @@
       co_return co_await this->EndStream(cutter.Rest(), answer);
     }
     if (piece.state != BodyState::kMore) {
-      const char* cause = piece.state == BodyState::kTimedOut ? "stream_silent" : "stream_cut";
+      const bool silent = piece.state == BodyState::kTimedOut;
+      const std::string_view cause = silent ? kSilentStream : std::string_view("stream_cut");
       co_return co_await this->AfterFailure(lease, cause);
     }
   }
--- a/src/gateway/tests/endpoint_book_test.cc
+++ b/src/gateway/tests/endpoint_book_test.cc
@@ -82,13 +82,39 @@
   EndpointBook book("a");
   book.Put(Entry("one"));
   book.Put(Entry("two"));
-  EndpointEvidence::NoteFailure(StateOf(book, "one"), kStart);
+  EndpointEvidence::NoteFailure(StateOf(book, "one"), kStart, false);
   StateOf(book, "two").own_online = 3;
   CHECK(book.Choose(Online(), kStart).endpoint->entry.id == "two");
   CHECK(book.Choose(Online({"two"}), kStart).endpoint->entry.id == "one");
   CHECK_FALSE(book.Choose({"svc", {"two"}, WorkClass::kBatch}, kStart).endpoint);
 }
 
+TEST_CASE("an endpoint that a peer found out of reach is avoided until it answers here") {
+  EndpointBook book("a");
+  EndpointBook peer("a");
+  for (EndpointBook* each : {&book, &peer}) {
+    each->Put(Entry("one"));
+    each->Put(Entry("two"));
+  }
+  EndpointEvidence::NoteFailure(StateOf(peer, "one"), kStart, true);
+  EndpointEvidence::NoteFailure(StateOf(peer, "two"), kStart, false);
+  CHECK(peer.Unreachable(kStart) == std::vector<std::uint32_t>{EndpointKey("one")});
+  book.NotePeerSuspects(peer.Unreachable(kStart), kStart);
+  StateOf(book, "two").own_online = 2;
+  CHECK(book.Choose(Online(), kStart).endpoint->entry.id == "two");
+  EndpointEvidence::NoteAnswer(StateOf(book, "one"), kStart + milliseconds(10));
+  CHECK(book.Choose(Online(), kStart + milliseconds(20)).endpoint->entry.id == "one");
+}
+
+TEST_CASE("an address that another endpoint has is avoided until the list tells more") {
+  EndpointBook book("a");
+  book.Put(Entry("one"));
+  book.Put(Entry("two"));
+  EndpointEvidence::NoteReplaced(StateOf(book, "one"), kStart);
+  StateOf(book, "two").own_online = 3;
+  CHECK(book.Choose(Online(), kStart + milliseconds(3000)).endpoint->entry.id == "two");
+}
+
 TEST_CASE("a slow endpoint gets less work than its free places suggest") {
   EndpointBook book("a");
   for (const char* id : {"one", "two", "slow"}) {
@@ -118,7 +144,7 @@
   EndpointBook book("a");
   book.Put(Entry("one"));
   StateOf(book, "one").own_online = 4;
-  EndpointEvidence::NoteFailure(StateOf(book, "one"), kStart);
+  EndpointEvidence::NoteFailure(StateOf(book, "one"), kStart, false);
   EndpointEntry again = Entry("one");
   again.born_unix_ms = 77;
   book.Put(again);
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -15,6 +15,9 @@
   bool listed = true;
   net::SteadyTime usable_until = net::SteadyTime::max();  ///< an entry that lapsed in an outage
   net::SteadyTime suspect_until;                          ///< set by failed attempts
+  net::SteadyTime peers_suspect_until;                    ///< set by what peers report
+  net::SteadyTime last_answer;
+  bool out_of_reach = false;  ///< the last failure was of the endpoint, not of a connection
   int failures_in_row = 0;
   int own_online = 0;
   int own_batch = 0;
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -80,7 +80,8 @@
       co_return cutter.Rest().empty() ? ItemStep::kWhole : ItemStep::kGoOn;
     }
     if (piece.state != BodyState::kMore) {
-      gateway::EndpointEvidence::NoteFailure(endpoint, net::Now());
+      gateway::EndpointEvidence::NoteFailure(endpoint, net::Now(),
+                                             piece.state == BodyState::kTimedOut);
       co_return ItemStep::kGoOn;
     }
   }
@@ -102,8 +103,9 @@
   if (cancel.IsCancelled()) {
     co_return ItemStep::kGoOn;
   }
-  if (std::holds_alternative<gateway::AttemptFailure>(outcome)) {
-    gateway::EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now());
+  if (const auto* failure = std::get_if<gateway::AttemptFailure>(&outcome)) {
+    gateway::EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(),
+                                           *failure != gateway::AttemptFailure::kUnknown);
     co_return ItemStep::kGoOn;
   }
   const AnswerHead answer = std::move(std::get<AnswerHead>(outcome));
@@ -112,10 +114,13 @@
   }
   const unsigned code = answer.head.result_int();
   if (code / 100 == 2 && answer.facts.is_signed) {
-    gateway::EndpointEvidence::NoteAnswer(lease.Endpoint());
+    gateway::EndpointEvidence::NoteAnswer(lease.Endpoint(), net::Now());
     co_return co_await ReadItem(attempt, ledger, item, lease.Endpoint(), cancel);
   }
   BodyPiece rest = co_await attempt.ReadRest(kFailureBodyBytes, net::Now() + kItemSilence);
+  if (answer.facts.other_instance) {
+    gateway::EndpointEvidence::NoteReplaced(lease.Endpoint(), net::Now());
+  }
   if (answer.facts.not_executed || answer.facts.other_instance) {
     co_return ItemStep::kGoOn;
   }
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -14,8 +14,8 @@
 constexpr std::size_t kGroupBytes = 500 << 10;  // a transaction of the store holds 1 MB as text
 constexpr std::size_t kGroupResults = 40;       // and a hundred rows
 constexpr milliseconds kWriteLimit{4000};
-constexpr milliseconds kWritePause{300};  // after a write whose outcome is unknown
-constexpr milliseconds kHandOverLimit{2500};
+constexpr milliseconds kWritePause{300};      // after a write whose outcome is unknown
+constexpr milliseconds kHandOverLimit{5000};  // below the grace of a stop
 
 }  // namespace
 
@@ -107,8 +107,9 @@
 awaitable<void> JobService::HandOver() {
   const std::map<std::string, Job> jobs = this->owned;
   for (const auto& [id, job] : jobs) {
-    co_await this->HandOverJob(job);
+    net::asio::co_spawn(this->gateway.executor, this->HandOverJob(job), net::asio::detached);
   }
+  co_return;
 }
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/tests/job_rows_test.cc
+++ b/src/jobs/tests/job_rows_test.cc
@@ -11,6 +11,7 @@
 
 std::vector<rowstore::Row> Stored(const std::vector<rowstore::WrittenRow>& written) {
   std::vector<rowstore::Row> rows;
+  rows.reserve(written.size());
   for (const rowstore::WrittenRow& row : written) {
     rows.push_back({row.key, row.value, 5, false});
   }
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -58,6 +58,8 @@
                       this->gateway.routes.Version(),
                       this->view.EndpointsVersion(),
                       this->gateway.stopping,
+                      this->store_served && this->store_served(),
+                      this->gateway.book.Unreachable(now),
                       this->gateway.book.OwnLoads()};
   const std::string bytes = Encode(message);
   for (const Address& address : this->candidates) {
@@ -115,6 +117,7 @@
     return;  // overtaken on the way
   }
   this->gateway.book.SetPeerLoad(message.name, message.loads);
+  this->gateway.book.NotePeerSuspects(message.suspects, net::Now());
   this->peers[sender] = {std::move(message), net::Now()};
   this->gateway.admission.Dispatch();
 }
@@ -173,6 +176,13 @@
   return ahead == this->peers.end() ? Address() : ahead->first;
 }
 
+PeerExchange::Address PeerExchange::PeerWithStore() const {
+  const auto served = std::find_if(this->peers.begin(), this->peers.end(), [](const auto& item) {
+    return item.second.last.store_served && !item.second.last.is_leaving;
+  });
+  return served == this->peers.end() ? Address() : served->first;
+}
+
 PeerExchange::Address PeerExchange::AnyPeer() const {
   if (this->candidates.empty()) {
     return {};
--- a/src/peers/internal/peer_message.cc
+++ b/src/peers/internal/peer_message.cc
@@ -8,7 +8,7 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kFields = 7;
+constexpr std::size_t kFields = 9;
 
 }  // namespace
 
@@ -21,7 +21,7 @@
   }
   const json fields = {message.name,           message.incarnation,       message.sequence,
                        message.config_version, message.endpoints_version, message.is_leaving,
-                       std::move(loads)};
+                       std::move(loads),       message.store_served,      message.suspects};
   const std::vector<std::uint8_t> bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
 }
@@ -39,6 +39,8 @@
     fields[3].get_to(message.config_version);
     fields[4].get_to(message.endpoints_version);
     fields[5].get_to(message.is_leaving);
+    fields[7].get_to(message.store_served);
+    fields[8].get_to(message.suspects);
     message.loads.clear();
     for (std::size_t index = 0; index < fields[6].size(); index += 3) {
       message.loads.push_back({fields[6][index].get<std::uint32_t>(),
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -46,6 +46,12 @@
   /// @param endpoints_too a newer list of endpoints counts.
   [[nodiscard]] Address PeerAhead(bool endpoints_too) const;
 
+  /// Address of a live peer that the store serves; unspecified if none is known.
+  [[nodiscard]] Address PeerWithStore() const;
+
+  /// Sets what tells whether the store serves this node.
+  void SetStoreServed(std::function<bool()> served) { this->store_served = std::move(served); }
+
   /// Address of any peer or candidate, for a node that knows nothing; unspecified if none is known.
   [[nodiscard]] Address AnyPeer() const;
 
@@ -74,6 +80,7 @@
   std::string name;
   std::string incarnation;
   std::uint64_t sequence = 0;
+  std::function<bool()> store_served;
   bool changed = true;
   net::SteadyTime last_sent;
   net::SteadyTime last_probe;
--- a/src/rowstore/row_store.h
+++ b/src/rowstore/row_store.h
@@ -2,7 +2,11 @@
 
 #include <string>
 
+#include <functional>
+#include <optional>
+
 #include "net/http_caller.h"
+#include "rowstore/store_path.h"
 #include "rowstore/types/commit_outcome.h"
 #include "rowstore/types/read_result.h"
 #include "rowstore/types/row_range.h"
@@ -13,12 +17,25 @@
 /// Client of the store of rows. Calls of one event loop only.
 class RowStore {
  public:
+  /// Finds the listener of a peer that the store serves, or nothing.
+  using RelayFinder = std::function<std::optional<net::tcp::endpoint>()>;
+
   /// @param address address of the store.
   RowStore(const net::asio::any_io_executor& executor, const net::tcp::endpoint& address);
 
   /// Changes the address of the store.
   void SetAddress(const net::tcp::endpoint& address);
 
+  /// Lets calls go through a peer while the store does not serve this node.
+  void SetRelayFinder(RelayFinder finder) { this->find_relay = std::move(finder); }
+
+  /// Passes a call of a peer on to the store, once.
+  /// @return the store's answer; a failure of its own kind when there was none.
+  net::asio::awaitable<net::Response> PassOn(net::Request request);
+
+  /// Whether the store serves this node.
+  [[nodiscard]] bool IsServed() const { return this->path.IsServed(); }
+
   /// Applies a transaction, sending the same one again until its outcome is known.
   ///
   /// A copy whose answer was lost may still apply later, so a transaction must expect the
@@ -47,10 +64,17 @@
 
  private:
   net::asio::awaitable<ReadOutcome> ReadOnce(const RowRange& range, net::SteadyTime deadline);
+  net::asio::awaitable<net::HttpCaller::Outcome> Call(net::Request request,
+                                                      std::chrono::milliseconds timeout);
+  net::asio::awaitable<net::HttpCaller::Outcome> CallDirect(net::Request request,
+                                                            std::chrono::milliseconds timeout);
   net::asio::awaitable<void> Pause(std::chrono::milliseconds span);
 
   net::asio::any_io_executor executor;
   net::HttpCaller caller;
+  net::HttpCaller relay;
+  RelayFinder find_relay;
+  StorePath path;
 };
 
 }  // namespace lentilhead::rowstore
