Save how far batch items have come every 1.5 s

Cause: the owner of a job held the output of running items in memory only; a power cut or kill made every item run again from its start.

Change: an owner writes the progress of items that have come further since the last save, one transaction a job, under the version of its claim. Who takes the job over goes on after the saved event. Failed runs are counted the same way, so that a new owner does not begin to count anew.

Ruled out: a write per event (part-writes of the store), and saving only when a job is handed over (a kill hands nothing over).

Test: job_ledger_test "only items that have come further since they were saved are saved again".

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -226,8 +226,7 @@
     if (progress.failures >= job->claim.max_attempts) {
       job->ledger.End(item, ItemEnd::kGivenUp);
     } else {
-      net::asio::co_spawn(this->gateway.executor, this->SaveFailure(job, item),
-                          net::asio::detached);
+      job->last_saved = {};  // a failure counts at the next owner, too
     }
   } else if (!run->cancel.IsCancelled()) {
     progress.not_before = net::Now() + kRetryPause;
--- a/src/jobs/internal/job_ledger.cc
+++ b/src/jobs/internal/job_ledger.cc
@@ -86,4 +86,19 @@
   return begun;
 }
 
+std::vector<std::size_t> JobLedger::Unsaved() const {
+  std::vector<std::size_t> unsaved = this->Begun();
+  std::erase_if(unsaved, [this](std::size_t item) {
+    const ItemProgress& state = this->progress[item];
+    return state.last_event == state.saved_event && state.failures == state.saved_failures;
+  });
+  return unsaved;
+}
+
+void JobLedger::NoteSaved(std::size_t item) {
+  ItemProgress& state = this->progress[item];
+  state.saved_event = state.last_event;
+  state.saved_failures = state.failures;
+}
+
 }  // namespace lentilhead::jobs
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -190,6 +190,7 @@
       if (!job->ledger.IsCompleteAfter(0)) {
         this->GiveUpLateItems(job);
       }
+      this->SaveProgressInTurn(job, net::Now());
       if (job->ledger.HasUncommitted() && !job->is_writing && !job->is_lost) {
         job->is_writing = true;
         net::asio::co_spawn(this->gateway.executor, this->Write(job), net::asio::detached);
--- a/src/jobs/internal/job_store.cc
+++ b/src/jobs/internal/job_store.cc
@@ -144,11 +144,11 @@
   co_return std::move(*present);
 }
 
-awaitable<bool> JobStore::SaveProgress(Claim claim, std::size_t item, ItemProgress progress,
+awaitable<bool> JobStore::SaveProgress(Claim claim, std::vector<rowstore::WrittenRow> rows,
                                        net::SteadyTime deadline) {
   rowstore::Transaction transaction;
   transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
-  transaction.written.push_back(internal::ProgressRow(claim.job, item, progress));
+  transaction.written = std::move(rows);
   rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
   co_return std::holds_alternative<rowstore::Committed>(outcome);
 }
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -14,6 +14,8 @@
 constexpr std::size_t kGroupBytes = 500 << 10;  // a transaction of the store holds 1 MB as text
 constexpr std::size_t kGroupResults = 40;       // and a hundred rows
 constexpr milliseconds kWriteLimit{4000};
+constexpr milliseconds kSavePeriod{1500};     // what the loss of a node costs its items at most
+constexpr milliseconds kSaveLimit{1000};      // the next save holds more
 constexpr milliseconds kWritePause{300};      // after a write whose outcome is unknown
 constexpr milliseconds kHandOverLimit{5000};  // below the grace of a stop
 
@@ -66,10 +68,29 @@
   job->is_writing = false;
 }
 
-awaitable<void> JobService::SaveFailure(Job job, std::size_t item) {
-  ItemProgress progress = job->ledger.Progress(item);
-  co_await this->store.SaveProgress(job->claim, item, std::move(progress),
-                                    net::Now() + kWriteLimit);
+void JobService::SaveProgressInTurn(const Job& job, net::SteadyTime now) {
+  if (job->is_saving || job->is_lost || job->handing_over || now - job->last_saved < kSavePeriod ||
+      job->ledger.Unsaved().empty()) {
+    return;
+  }
+  job->is_saving = true;
+  job->last_saved = now;
+  net::asio::co_spawn(this->gateway.executor, this->SaveProgress(job), net::asio::detached);
+}
+
+awaitable<void> JobService::SaveProgress(Job job) {
+  std::vector<rowstore::WrittenRow> rows;
+  std::size_t bytes = 0;
+  for (const std::size_t item : job->ledger.Unsaved()) {
+    bytes += job->ledger.Progress(item).output.size();
+    if (bytes > kGroupBytes || rows.size() >= kGroupResults) {
+      break;
+    }
+    rows.push_back(internal::ProgressRow(job->claim.job, item, job->ledger.Progress(item)));
+    job->ledger.NoteSaved(item);
+  }
+  co_await this->store.SaveProgress(job->claim, std::move(rows), net::Now() + kSaveLimit);
+  job->is_saving = false;
 }
 
 awaitable<void> JobService::HandOverJob(Job job) {
--- a/src/jobs/internal/owned_job.h
+++ b/src/jobs/internal/owned_job.h
@@ -25,9 +25,11 @@
   Claim claim;
   JobLedger ledger;
   std::list<std::shared_ptr<ItemRun>> runs;
-  bool is_lost = false;       ///< another node owns it, or it has ended: nothing more is written
-  bool is_writing = false;    ///< results are being committed
-  bool handing_over = false;  ///< no item is begun any more
+  bool is_lost = false;     ///< another node owns it, or it has ended: nothing more is written
+  bool is_writing = false;  ///< results are being committed
+  bool is_saving = false;   ///< progress is being written
+  net::SteadyTime last_saved;
+  bool handing_over = false;            ///< no item is begun any more
   net::SteadyTime route_missing_since;  ///< epoch while the job's route exists
 };
 
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -58,6 +58,12 @@
   /// Indices of the items that have begun and not ended.
   [[nodiscard]] std::vector<std::size_t> Begun() const;
 
+  /// Indices of the items that have come further since they were noted as saved.
+  [[nodiscard]] std::vector<std::size_t> Unsaved() const;
+
+  /// Notes that the present progress of an item is in the store.
+  void NoteSaved(std::size_t item);
+
  private:
   JobSpec spec;
   std::vector<ItemProgress> progress;
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -64,7 +64,8 @@
                                      gateway::EndpointLease lease);
   net::asio::awaitable<void> Write(Job job);
   net::asio::awaitable<void> HandOverJob(Job job);
-  net::asio::awaitable<void> SaveFailure(Job job, std::size_t item);
+  net::asio::awaitable<void> SaveProgress(Job job);
+  void SaveProgressInTurn(const Job& job, net::SteadyTime now);
   net::asio::awaitable<void> RemoveOld(Claim claim);
 
   gateway::Gateway& gateway;
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -56,8 +56,9 @@
                                             std::vector<ItemResult> results, bool is_last,
                                             net::SteadyTime deadline);
 
-  /// Writes how far an item has come.
-  net::asio::awaitable<bool> SaveProgress(Claim claim, std::size_t item, ItemProgress progress,
+  /// Writes how far items have come.
+  /// @param rows rows of progress, within the limits of a transaction.
+  net::asio::awaitable<bool> SaveProgress(Claim claim, std::vector<rowstore::WrittenRow> rows,
                                           net::SteadyTime deadline);
 
   /// Reads the items of a job.
--- a/src/jobs/tests/job_ledger_test.cc
+++ b/src/jobs/tests/job_ledger_test.cc
@@ -63,6 +63,20 @@
   CHECK(ledger.Begun() == std::vector<std::size_t>{0});
 }
 
+TEST_CASE("only items that have come further since they were saved are saved again") {
+  JobLedger ledger(Spec(3), {});
+  ledger.Progress(0).last_event = 3;
+  ledger.Progress(1).failures = 1;
+  CHECK(ledger.Unsaved() == std::vector<std::size_t>{0, 1});
+  ledger.NoteSaved(0);
+  ledger.NoteSaved(1);
+  CHECK(ledger.Unsaved().empty());
+  ledger.Progress(0).last_event = 4;
+  CHECK(ledger.Unsaved() == std::vector<std::size_t>{0});
+  ledger.End(0, ItemEnd::kCompleted);
+  CHECK(ledger.Unsaved().empty());
+}
+
 TEST_CASE("giving up the rest ends every item once and drops partial output") {
   JobLedger ledger(Spec(2), {});
   ledger.Progress(0).output = "half";
