Keep endpoints past their entry only after an outage for all

Change: LapseGrace looks at whether any peer reaches the store; requests wait for room rather than try an endpoint out of reach while another is in reach; a node takes jobs over 1.0 s after its start instead of 1.5 s.

Tests: lapse_grace_test, endpoint_book_test "work waits for room rather than go to an endpoint out of reach".

Ruled out: no grace at all (runners of an outage for all are back within two seconds and would be missed).

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -31,7 +31,6 @@
 constexpr milliseconds kNodePause{900};
 constexpr milliseconds kNodeWait{3000};
 constexpr milliseconds kClaimPause{250};
-constexpr milliseconds kLapseGrace{2300};  // entries that lapsed in an outage are back by then
 constexpr milliseconds kMaintenancePeriod{100};
 constexpr milliseconds kStandstill{700};  // a pause of the process beyond usual scheduling
 constexpr milliseconds kRelayPeriod{200};
@@ -124,10 +123,11 @@
           this->store,
           {platform::kEndpointTable, {""}, kEndpointPause},
           [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
-            this->view.ReplaceEndpoints(rows, version, this->KeepMissingUntil(), "store");
+            this->view.ReplaceEndpoints(rows, version, this->lapse_grace.KeepUntil(net::Now()),
+                                        "store");
           },
           [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
-            this->view.ChangeEndpoints(rows, version, this->KeepMissingUntil());
+            this->view.ChangeEndpoints(rows, version, this->lapse_grace.KeepUntil(net::Now()));
           }};
 }
 
@@ -154,11 +154,6 @@
           }};
 }
 
-net::SteadyTime NodeProgram::KeepMissingUntil() const {
-  const net::SteadyTime lapse_end = this->endpoint_follower.ReachableSince() + kLapseGrace;
-  return std::max(net::Now(), lapse_end);
-}
-
 void NodeProgram::Spawn(awaitable<void> task) {
   net::asio::co_spawn(this->executor, std::move(task), net::asio::detached);
 }
@@ -355,6 +350,8 @@
       this->NoteStandstill();
     }
     last = now;
+    this->lapse_grace.Note(this->endpoint_follower.IsReachable() || this->store.IsServed(),
+                           !this->peers.PeerWithStore().is_unspecified(), net::Now());
     this->gateway.pool.Prune(net::Now());
     this->gateway.book.Prune(net::Now());
     this->gateway.admission.Dispatch();
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -11,6 +11,7 @@
 #include "jobs/job_api.h"
 #include "jobs/job_service.h"
 #include "peers/cluster_view.h"
+#include "peers/lapse_grace.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
 #include "rowstore/table_follower.h"
@@ -33,7 +34,6 @@
   [[nodiscard]] rowstore::TableFollower MakeEndpointFollower();
   [[nodiscard]] rowstore::TableFollower MakeNodeFollower();
   [[nodiscard]] rowstore::TableFollower MakeClaimFollower();
-  [[nodiscard]] net::SteadyTime KeepMissingUntil() const;
   [[nodiscard]] bool IsReady() const;
   net::asio::awaitable<net::Response> AnswerReadiness(net::Request request);
   net::asio::awaitable<net::Response> AnswerPeer(net::Request request, net::tcp::endpoint caller);
@@ -53,6 +53,7 @@
   gateway::Gateway gateway;
   rowstore::RowStore store;
   peers::ClusterView view;
+  peers::LapseGrace lapse_grace;
   peers::PeerExchange peers;
   peers::NodePresence presence;
   jobs::JobStore job_store;
--- a/src/gateway/internal/endpoint_book.cc
+++ b/src/gateway/internal/endpoint_book.cc
@@ -32,11 +32,22 @@
                                     : total < slots - std::min(kBatchHeadroom, slots - 1);
 }
 
+/// What evidence says of an endpoint, from worst to best.
+enum class Trust {
+  kOutOfReach,  ///< it could not be reached lately
+  kDoubtful,    ///< a connection to it failed lately
+  kFull,
+};
+
 /// An own answer since the peers' report outweighs it.
-bool IsSuspect(const EndpointState& state, net::SteadyTime now) {
+Trust TrustIn(const EndpointState& state, net::SteadyTime now) {
   const bool peers_suspect =
       now < state.peers_suspect_until && now - state.last_answer > kPeerSuspicion;
-  return now < state.suspect_until || peers_suspect;
+  const bool suspect = now < state.suspect_until;
+  if (peers_suspect || (suspect && state.out_of_reach)) {
+    return Trust::kOutOfReach;
+  }
+  return suspect ? Trust::kDoubtful : Trust::kFull;
 }
 
 }  // namespace
@@ -137,9 +148,10 @@
 Choice EndpointBook::Choose(const ChoiceRequest& request, net::SteadyTime now) const {
   const double median_pace = this->MedianPace(request.service);
   Choice best{nullptr, NoChoice::kNotListed};
-  bool best_suspect = true;
+  Trust best_trust = Trust::kOutOfReach;
   double best_score = std::numeric_limits<double>::max();
   std::size_t equals = 0;
+  bool any_in_reach = false;
   for (const auto& [id, state] : this->endpoints) {
     const bool excluded =
         std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
@@ -149,21 +161,26 @@
     if (best.reason == NoChoice::kNotListed) {
       best.reason = NoChoice::kAllFull;
     }
-    const bool suspect = IsSuspect(*state, now);
+    const Trust trust = TrustIn(*state, now);
+    any_in_reach = any_in_reach || trust != Trust::kOutOfReach;
     if (!HasRoom(*state, request.work, EstimatedTotal(*state, now)) ||
-        (suspect && request.work == WorkClass::kBatch)) {
+        (trust != Trust::kFull && request.work == WorkClass::kBatch)) {
       continue;
     }
     const double score = this->Score(*state, median_pace, now);
-    const bool better = suspect != best_suspect ? best_suspect : score < best_score;
-    const bool equal = suspect == best_suspect && score == best_score;
+    const bool better = trust != best_trust ? trust > best_trust : score < best_score;
+    const bool equal = trust == best_trust && score == best_score;
     equals = better ? 1 : equals + (equal ? 1 : 0);
     if (better || (equal && net::RandomBelow(equals) == 0)) {
       best = {state, NoChoice::kNone};
-      best_suspect = suspect;
+      best_trust = trust;
       best_score = score;
     }
   }
+  // Waiting for room at an endpoint in reach is better than a try at one that is not.
+  if (best.endpoint && best_trust == Trust::kOutOfReach && any_in_reach) {
+    return {nullptr, NoChoice::kAllFull};
+  }
   return best;
 }
 
--- a/src/gateway/tests/endpoint_book_test.cc
+++ b/src/gateway/tests/endpoint_book_test.cc
@@ -106,6 +106,17 @@
   CHECK(book.Choose(Online(), kStart + milliseconds(20)).endpoint->entry.id == "one");
 }
 
+TEST_CASE("work waits for room rather than go to an endpoint out of reach") {
+  EndpointBook book("a");
+  book.Put(Entry("one"));
+  book.Put(Entry("two"));
+  EndpointEvidence::NoteFailure(StateOf(book, "one"), kStart, true);
+  StateOf(book, "two").own_online = 5;
+  CHECK(book.Choose(Online(), kStart).reason == NoChoice::kAllFull);
+  EndpointEvidence::NoteFailure(StateOf(book, "two"), kStart, true);
+  CHECK(book.Choose(Online(), kStart).endpoint->entry.id == "one");
+}
+
 TEST_CASE("an address that another endpoint has is avoided until the list tells more") {
   EndpointBook book("a");
   book.Put(Entry("one"));
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -13,7 +13,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{40};
-constexpr milliseconds kSettlingTime{1500};  // after a start: peers are heard of by then
+constexpr milliseconds kSettlingTime{1000};  // after a start: peers are heard of by then
 constexpr milliseconds kTakeOverLimit{3000};
 constexpr milliseconds kCollectionPeriod{10000};
 constexpr milliseconds kClockMargin{5000};  // between the times of day of two machines
--- a/src/rowstore/table_follower.cc
+++ b/src/rowstore/table_follower.cc
@@ -27,17 +27,13 @@
       on_changes(std::move(on_changes)) {}
 
 void TableFollower::NoteOutcome(bool answered, std::string_view cause) {
-  const net::SteadyTime now = net::Now();
   if (answered) {
-    this->last_answer = now;
+    this->last_answer = net::Now();
   }
   if (answered == this->reachable) {
     return;
   }
   this->reachable = answered;
-  if (answered) {
-    this->reachable_since = now;
-  }
   net::LogLine(answered ? "store_regained" : "store_lost")
       .With("table", this->followed.table)
       .With("version", this->version)
--- a/src/rowstore/table_follower.h
+++ b/src/rowstore/table_follower.h
@@ -33,9 +33,6 @@
   /// Time of the last answer of the store to this follower.
   [[nodiscard]] net::SteadyTime LastAnswer() const { return this->last_answer; }
 
-  /// Time since which the store has answered without a break.
-  [[nodiscard]] net::SteadyTime ReachableSince() const { return this->reachable_since; }
-
   /// Whether the last call was answered.
   [[nodiscard]] bool IsReachable() const { return this->reachable; }
 
@@ -53,7 +50,6 @@
   bool has_snapshot = false;
   bool reachable = false;
   net::SteadyTime last_answer;
-  net::SteadyTime reachable_since;
 };
 
 }  // namespace lentilhead::rowstore
