Close idle connections without losing a request that was just read

A leaving node closed a connection as idle at the very moment at which a request had been taken off the socket: the watch for the caller's close and the next read wait on one socket, so that both complete at once and the read's handler runs a turn later; in between the connection looked quiet. The request was then passed on, and its answer had no connection.

Change: CloseIfIdle cancels the read in place of closing; a read that has completed is not touched by that and its request is answered.

Ruled out: the end of the process (event=stop came later, at_work=0), the idle timeout, the caller's own close.

Before: caller_session_test "a request that was read is answered, whenever idle connections are closed" failed at the first step (1 answer, 2 requests). After: it passes at every step.

--- a/src/apps/ctl/commands.h
+++ b/src/apps/ctl/commands.h
@@ -21,6 +21,7 @@
 std::optional<int> RunSheetCommand(CommandContext& context);
 std::optional<int> RunFleetCommand(CommandContext& context);
 std::optional<int> RunJobCommand(CommandContext& context);
+std::optional<int> RunTraceCommand(CommandContext& context);
 
 /// Sends a request and hands a successful answer to a printer; with `--json` prints the answer.
 /// @return exit code.
--- a/src/apps/ctl/main.cc
+++ b/src/apps/ctl/main.cc
@@ -13,7 +13,7 @@
   ApiClient callers(options.urls, options.access_key);
   ApiClient operators(options.operator_urls, options.access_key);
   CommandContext context{options, callers, operators};
-  for (const auto& run : {RunSheetCommand, RunFleetCommand, RunJobCommand}) {
+  for (const auto& run : {RunSheetCommand, RunFleetCommand, RunJobCommand, RunTraceCommand}) {
     if (const std::optional<int> code = run(context)) {
       return *code;
     }
--- a/src/apps/ctl/options.cc
+++ b/src/apps/ctl/options.cc
@@ -51,7 +51,8 @@
     "  job submit FILE --service S [--deadline 6h] [--key K] [--wait]\n"
     "  job status|cancel|results ID\n"
     "  job list\n"
-    "  models\n\n"
+    "  models\n"
+    "  trace ID FILE...   lines of a request, job or item in the logs of nodes\n\n"
     "Environment: LENTILHEAD_URL, LENTILHEAD_OPERATOR_URL (split by commas), LENTILHEAD_KEY\n\n"
     "Exit codes: 0 done, 1 failed, 2 usage, 4 refused, 5 conflict, 6 authentication,\n"
     "            7 outcome unknown, 8 job not completed\n";
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -45,8 +45,8 @@
     co_return true;
   }
   this->stream.expires_after(limits.idle_timeout);
-  const auto [error, read] =
-      co_await this->stream.async_read_some(this->buffer.prepare(4096), net::kAwaitWithError);
+  const auto [error, read] = co_await this->stream.async_read_some(
+      this->buffer.prepare(kReadAheadBytes), net::kAwaitWithError);
   this->buffer.commit(read);
   co_return !error;
 }
@@ -208,8 +208,10 @@
 }
 
 void CallerSession::CloseIfIdle() {
+  // The read is cancelled and the socket left open: bytes that were taken off the socket, but not
+  // handed on yet, are a request that must be answered, and end the read as if nothing were said.
   if (this->is_idle && this->buffer.size() == 0 && net::IsQuiet(this->stream.socket())) {
-    this->Abort();
+    this->stream.cancel();
   }
 }
 
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -143,6 +143,22 @@
   }
 }
 
+void OnlineRun::LogAttempt(const EndpointState& endpoint, net::SteadyTime now) {
+  net::LogLine line("attempt_sent", net::LogImportance::kRoutine);
+  line.With("request", this->facts.request.id)
+      .With("endpoint", endpoint.entry.id)
+      .With("attempt", this->tried.size())
+      .With("own", endpoint.OwnTotal())
+      .With("peers", endpoint.peer_online + endpoint.peer_batch)
+      .With("slots", endpoint.entry.slots)
+      .With("waited_ms", net::ToMilliseconds(now - this->facts.arrival).count())
+      .With("config", this->facts.config->version);
+  if (endpoint.reported) {
+    line.With("reported", endpoint.reported->running + endpoint.reported->waiting)
+        .With("report_age_ms", net::ToMilliseconds(now - endpoint.reported_at).count());
+  }
+}
+
 awaitable<OnlineRun::Step> OnlineRun::TryEndpoint(EndpointLease lease) {
   const net::SteadyTime now = net::Now();
   const Route& route = *this->facts.route;
@@ -152,6 +168,7 @@
   AttemptOptions options{this->last_endpoint, net::ToMilliseconds(this->facts.deadline - now),
                          this->last_event};
   net::Request message = platform::EncodeAttempt(this->facts.request, options);
+  this->LogAttempt(lease.Endpoint(), now);
   EndpointAttempt attempt(this->gateway.executor, this->gateway.pool, lease.Shared(), this->cancel);
   AttemptLimits limits{AttemptPolicy::AnswerBy(route, now, this->facts.deadline, can_repeat),
                        this->facts.IsRepeatable() ? milliseconds::max() : kSafeIdle};
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -47,6 +47,7 @@
   [[nodiscard]] bool MayTryAgain() const;
   [[nodiscard]] net::SteadyTime WriteLimit() const;
   void Count(const char* outcome, std::string_view reason);
+  void LogAttempt(const EndpointState& endpoint, net::SteadyTime now);
   void LogOutcome(std::string_view outcome, std::string_view reason, int status);
 
   Gateway& gateway;
--- /dev/null
+++ b/src/gateway/tests/caller_session_test.cc
@@ -0,0 +1,99 @@
+#include "gateway/caller_session.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace lentilhead::gateway {
+namespace {
+
+namespace asio = net::asio;
+using std::chrono::milliseconds;
+
+constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/// A session and its caller's socket, on a loop that the test steps.
+class SessionFixture {
+ public:
+  SessionFixture() : acceptor(this->loop, {asio::ip::address_v4::loopback(), 0}) {
+    this->caller.connect(this->acceptor.local_endpoint());
+    this->session = std::make_shared<CallerSession>(this->acceptor.accept(), this->stop);
+  }
+
+  /// Answers requests until the connection ends; counts those that were read.
+  asio::awaitable<void> Serve() {
+    while (this->session->IsOpen()) {
+      const auto read = co_await this->session->ReadRequest(CallerLimits{});
+      if (!std::holds_alternative<net::Request>(read)) {
+        this->session->Abort();
+        co_return;
+      }
+      ++this->requests_read;
+      CancelScope cancel;
+      this->session->StartWatch(cancel);
+      net::Response response(net::http::status::ok, 11);
+      response.body() = "done";
+      const bool sent =
+          co_await this->session->Send(std::move(response), net::Now() + milliseconds(1000));
+      this->answers_sent += sent ? 1 : 0;
+      this->session->StopWatch();
+    }
+  }
+
+  void Step(int handlers) {
+    for (int count = 0; count < handlers; ++count) {
+      this->loop.poll_one();
+    }
+  }
+
+  asio::io_context loop{1};
+  bool stop = false;
+  asio::ip::tcp::acceptor acceptor;
+  asio::ip::tcp::socket caller{this->loop};
+  std::shared_ptr<CallerSession> session;
+  int requests_read = 0;
+  int answers_sent = 0;
+};
+
+TEST_CASE("a request that was read is answered, whenever idle connections are closed") {
+  for (int handlers = 0; handlers < 12; ++handlers) {
+    CAPTURE(handlers);
+    SessionFixture fixture;
+    asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
+    asio::write(fixture.caller, asio::buffer(std::string(kRequest)));
+    fixture.loop.run_for(milliseconds(20));
+    REQUIRE(fixture.answers_sent == 1);
+    asio::write(fixture.caller, asio::buffer(std::string(kRequest)));
+    fixture.Step(handlers);
+    fixture.session->CloseIfIdle();
+    fixture.loop.restart();
+    fixture.loop.run_for(milliseconds(20));
+    CHECK(fixture.answers_sent == fixture.requests_read);
+  }
+}
+
+TEST_CASE("an idle connection is closed") {
+  SessionFixture fixture;
+  asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
+  fixture.loop.run_for(milliseconds(10));
+  fixture.session->CloseIfIdle();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  CHECK_FALSE(fixture.session->IsOpen());
+}
+
+TEST_CASE("the caller's close is seen while its request is at work") {
+  SessionFixture fixture;
+  CancelScope cancel;
+  fixture.session->StartWatch(cancel);
+  fixture.loop.run_for(milliseconds(5));
+  CHECK_FALSE(cancel.IsCancelled());
+  fixture.caller.close();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(20));
+  CHECK(cancel.IsCancelled());
+  fixture.session->StopWatch();
+}
+
+}  // namespace
+}  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -28,7 +28,26 @@
 constexpr std::size_t kFailureBodyBytes = 64 << 10;
 
 /// What became of one attempt at an item.
-enum class ItemStep { kWhole, kGoOn, kFailedRun, kImpossible };
+enum class ItemStep {
+  kWhole,       ///< the output is whole
+  kGoOn,        ///< the item goes on after its last event
+  kFailedRun,   ///< the endpoint says that the run failed
+  kImpossible,  ///< the endpoint says that the item can never be done
+};
+
+std::string_view NameOf(ItemStep step) {
+  switch (step) {
+    case ItemStep::kWhole:
+      return "whole";
+    case ItemStep::kGoOn:
+      return "goes_on";
+    case ItemStep::kFailedRun:
+      return "failed_run";
+    case ItemStep::kImpossible:
+      return "impossible";
+  }
+  return "unknown";
+}
 
 /// Takes over events that follow on the ones before. @return false when one is missing.
 bool TakeEvents(ItemProgress& progress, std::vector<StreamEvent> events) {
@@ -236,7 +255,7 @@
       .With("job", job->claim.job)
       .With("item", job->ledger.Spec(item).id)
       .With("endpoint", endpoint)
-      .With("step", static_cast<int>(step))
+      .With("step", NameOf(step))
       .With("cancelled", run->cancel.IsCancelled())
       .With("last_event", progress.last_event.value_or(-1))
       .With("failures", progress.failures)
@@ -264,6 +283,12 @@
       if (!newest) {
         break;
       }
+      net::LogLine("item_yielded", net::LogImportance::kRoutine)
+          .With("endpoint", endpoint->entry.id)
+          .With("own", endpoint->OwnTotal())
+          .With("peers", endpoint->peer_online + endpoint->peer_batch)
+          .With("slots", endpoint->entry.slots)
+          .With("ran_ms", net::ToMilliseconds(now - newest->started).count());
       newest->cancel.Cancel();
       this->gateway.metrics.GetCounter("job_items_yielded_total").Add();
     }
