Remove dead declarations, split two long files and describe the node's metrics

Metrics have HELP lines with units, and levels (requests at work, jobs, peers, store, configuration, lines suppressed) are sampled when read.

--- /dev/null
+++ b/src/apps/node/metric_help.cc
@@ -0,0 +1,35 @@
+#include "apps/node/metric_help.h"
+
+#include <utility>
+
+namespace lentilhead::node {
+
+namespace {
+
+constexpr std::pair<const char*, const char*> kHelp[] = {
+    {"gateway_requests_total", "Online requests by final outcome and its reason."},
+    {"gateway_request_seconds", "Time from arrival to the final outcome, in seconds."},
+    {"gateway_first_event_seconds",
+     "Time from arrival to the first event of a stream, in seconds."},
+    {"gateway_attempt_failures_total", "Attempts at endpoints that failed, by cause."},
+    {"gateway_not_executed_total", "Attempts that an endpoint turned down, by status."},
+    {"job_results_total", "Results of batch items that became durable."},
+    {"job_items_yielded_total", "Runs of batch items that were ended for online requests."},
+    {"node_requests_at_work", "Requests that are read and not answered yet."},
+    {"node_jobs_owned", "Batch jobs that this node owns."},
+    {"node_peers_alive", "Nodes that are heard of and do not leave, this one included."},
+    {"node_store_served", "1 while the store answers this node, else 0."},
+    {"node_config_version", "Version of the configuration in force, -1 before the first."},
+    {"node_log_lines_suppressed",
+     "Log lines dropped since the start, by the bound or a slow reader."},
+};
+
+}  // namespace
+
+void DescribeMetrics(framework::Metrics& metrics) {
+  for (const auto& [name, help] : kHelp) {
+    metrics.Describe(name, help);
+  }
+}
+
+}  // namespace lentilhead::node
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -7,16 +7,13 @@
 #include <fstream>
 #include <sstream>
 
+#include "apps/node/metric_help.h"
 #include "gateway/internal/answers.h"
-#include "jobs/internal/job_rows.h"
-#include "net/http_caller.h"
 #include "net/log_line.h"
 #include "net/log_sink.h"
-#include "net/retry_pause.h"
 #include "platform/job_codec.h"
 #include "platform/request_codec.h"
 #include "platform/settings_codec.h"
-#include "platform/tables.h"
 
 namespace lentilhead::node {
 
@@ -26,20 +23,12 @@
 using net::http::status;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kConfigPause{100};
-constexpr milliseconds kEndpointPause{400};  // heartbeats change the table all the time
-constexpr milliseconds kNodePause{900};
-constexpr milliseconds kNodeWait{3000};
-constexpr milliseconds kClaimPause{250};
 constexpr milliseconds kMaintenancePeriod{100};
-constexpr milliseconds kStandstill{700};  // a pause of the process beyond usual scheduling
-constexpr milliseconds kRelayPeriod{200};
-constexpr milliseconds kRelayTimeout{600};
-constexpr milliseconds kStoreSilence{700};     // then the list of endpoints may come from peers
+constexpr milliseconds kStandstill{700};       // a pause of the process beyond usual scheduling
+constexpr milliseconds kStoreSilence{1100};    // then the list of endpoints may come from peers
 constexpr milliseconds kListenerLinger{3000};  // callers' connections still arrive for so long
 constexpr milliseconds kExitMargin{1200};      // before the end of the stop's grace
 constexpr milliseconds kLeavePoll{50};
-constexpr char kViewPath[] = "/view";
 constexpr int kSettingsCheckTicks = 10;  // maintenance periods between looks at the file
 
 std::chrono::nanoseconds BootTime() {
@@ -77,6 +66,7 @@
             this->settings.name, NewIncarnation(this->settings.name)),
       presence(this->gateway, this->store, this->peers,
                this->settings.callers.address().to_string()),
+      view_relay(this->gateway, this->view, this->peers, PeerListener(this->settings).port()),
       job_store(this->store, this->settings.row_bytes),
       job_service(this->gateway, this->job_store, this->peers, this->presence,
                   this->settings.job_retention),
@@ -107,53 +97,6 @@
               }),
       signals(this->executor, SIGTERM, SIGINT, SIGHUP) {}
 
-rowstore::TableFollower NodeProgram::MakeConfigFollower() {
-  const auto adopt = [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-    for (const rowstore::Row& row : rows) {
-      if (row.key.key == platform::kConfigKey && !row.removed) {
-        this->view.AdoptConfig(row.value, "store");
-      }
-    }
-  };
-  return {this->executor, this->store, {platform::kConfigTable, {""}, kConfigPause}, adopt, adopt};
-}
-
-rowstore::TableFollower NodeProgram::MakeEndpointFollower() {
-  return {this->executor,
-          this->store,
-          {platform::kEndpointTable, {""}, kEndpointPause},
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
-            this->view.ReplaceEndpoints(rows, version, this->lapse_grace.KeepUntil(net::Now()),
-                                        "store");
-          },
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
-            this->view.ChangeEndpoints(rows, version, this->lapse_grace.KeepUntil(net::Now()));
-          }};
-}
-
-rowstore::TableFollower NodeProgram::MakeNodeFollower() {
-  const auto note = [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-    this->presence.Note(rows);
-  };
-  return {this->executor,
-          this->store,
-          {peers::NodePresence::kTable, {""}, kNodePause, kNodeWait},
-          note,
-          note};
-}
-
-rowstore::TableFollower NodeProgram::MakeClaimFollower() {
-  return {this->executor,
-          this->store,
-          {jobs::internal::kClaimTable, jobs::internal::JobParts(), kClaimPause},
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-            this->job_service.ReplaceClaims(rows);
-          },
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-            this->job_service.ChangeClaims(rows);
-          }};
-}
-
 void NodeProgram::Spawn(awaitable<void> task) {
   net::asio::co_spawn(this->executor, std::move(task), net::asio::detached);
 }
@@ -199,7 +142,7 @@
   this->Spawn(this->presence.Announce([this] { return this->job_service.OwnedCount() > 0; }));
   this->Spawn(this->peers.Send());
   this->Spawn(this->peers.Receive());
-  this->Spawn(this->Relay());
+  this->Spawn(this->view_relay.Run([this] { return this->IsStoreSilent(); }));
   this->Spawn(this->Maintain());
   this->Spawn(this->AwaitSignals());
   this->Spawn(this->job_service.Run());
@@ -222,6 +165,7 @@
     net::LogSink::OfProcess().Flush();
     return 1;
   }
+  DescribeMetrics(this->gateway.metrics);
   this->SpawnTasks();
   this->context.run();
   net::LogLine("stop")
@@ -232,8 +176,7 @@
 }
 
 bool NodeProgram::IsReady() const {
-  return this->gateway.routes.Config() != nullptr && this->gateway.endpoints_known &&
-         !this->gateway.stopping;
+  return this->gateway.KnowsCluster() && !this->gateway.stopping;
 }
 
 awaitable<net::Response> NodeProgram::AnswerReadiness(net::Request request) {
@@ -247,7 +190,7 @@
 
 awaitable<net::Response> NodeProgram::AnswerPeer(net::Request request, net::tcp::endpoint caller) {
   this->peers.AddCandidate(caller.address());
-  if (request.target() != kViewPath) {
+  if (request.target() != peers::ViewRelay::kPath) {
     co_return co_await this->store.PassOn(std::move(request));
   }
   net::Response response(status::ok, 11);
@@ -262,10 +205,23 @@
   }
   net::Response response(status::ok, 11);
   response.set(net::http::field::content_type, "text/plain; version=0.0.4");
+  this->SampleLevels();
   response.body() = this->gateway.metrics.Render();
   co_return response;
 }
 
+void NodeProgram::SampleLevels() {
+  framework::Metrics& values = this->gateway.metrics;
+  values.GetGauge("node_requests_at_work")
+      .Set(static_cast<std::int64_t>(this->gate.RequestsAtWork()));
+  values.GetGauge("node_jobs_owned").Set(static_cast<std::int64_t>(this->job_service.OwnedCount()));
+  values.GetGauge("node_peers_alive").Set(static_cast<std::int64_t>(this->peers.Alive().size()));
+  values.GetGauge("node_store_served").Set(this->store.IsServed() ? 1 : 0);
+  values.GetGauge("node_config_version").Set(this->gateway.routes.Version());
+  values.GetGauge("node_log_lines_suppressed")
+      .Set(static_cast<std::int64_t>(net::LogSink::OfProcess().Suppressed()));
+}
+
 awaitable<void> NodeProgram::AwaitSignals() {
   while (true) {
     const auto [error, number] = co_await this->signals.async_wait(net::kAwaitWithError);
@@ -367,33 +323,9 @@
   }
 }
 
-awaitable<void> NodeProgram::Relay() {
-  net::asio::steady_timer timer(this->executor);
-  while (true) {
-    timer.expires_after(kRelayPeriod);
-    co_await timer.async_wait(net::kAwaitWithError);
-    const bool store_silent =
-        net::Now() - this->endpoint_follower.LastAnswer() > kStoreSilence + kEndpointPause &&
-        !this->endpoint_follower.IsReachable();
-    net::asio::ip::address peer = this->peers.PeerAhead(store_silent);
-    if (peer.is_unspecified() && !this->IsReady() && !this->gateway.stopping) {
-      peer = this->peers.AnyPeer();
-    }
-    if (!peer.is_unspecified()) {
-      co_await this->FetchView(peer, store_silent || !this->gateway.endpoints_known);
-    }
-  }
-}
-
-awaitable<void> NodeProgram::FetchView(net::asio::ip::address peer, bool endpoints_too) {
-  net::HttpCaller caller(this->executor, {peer, PeerListener(this->settings).port()});
-  net::Request request(net::http::verb::get, kViewPath, 11);
-  net::HttpCaller::Outcome outcome = co_await caller.Call(std::move(request), kRelayTimeout);
-  const auto* response = std::get_if<net::Response>(&outcome);
-  if (response == nullptr || response->result() != status::ok) {
-    co_return;
-  }
-  this->view.AdoptEncoded(response->body(), endpoints_too);
+bool NodeProgram::IsStoreSilent() const {
+  return net::Now() - this->endpoint_follower.LastAnswer() > kStoreSilence &&
+         !this->endpoint_follower.IsReachable();
 }
 
 }  // namespace lentilhead::node
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -14,6 +14,7 @@
 #include "peers/lapse_grace.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
+#include "peers/view_relay.h"
 #include "rowstore/table_follower.h"
 
 namespace lentilhead::node {
@@ -35,14 +36,14 @@
   [[nodiscard]] rowstore::TableFollower MakeNodeFollower();
   [[nodiscard]] rowstore::TableFollower MakeClaimFollower();
   [[nodiscard]] bool IsReady() const;
+  [[nodiscard]] bool IsStoreSilent() const;
   net::asio::awaitable<net::Response> AnswerReadiness(net::Request request);
   net::asio::awaitable<net::Response> AnswerPeer(net::Request request, net::tcp::endpoint caller);
   net::asio::awaitable<net::Response> AnswerMetrics(net::Request request);
   net::asio::awaitable<void> AwaitSignals();
   net::asio::awaitable<void> Leave();
   net::asio::awaitable<void> Maintain();
-  net::asio::awaitable<void> Relay();
-  net::asio::awaitable<void> FetchView(net::asio::ip::address peer, bool endpoints_too);
+  void SampleLevels();
   void Reload(std::string_view cause);
   void NoteStandstill();
 
@@ -56,6 +57,7 @@
   peers::LapseGrace lapse_grace;
   peers::PeerExchange peers;
   peers::NodePresence presence;
+  peers::ViewRelay view_relay;
   jobs::JobStore job_store;
   jobs::JobService job_service;
   jobs::JobApi job_api;
--- a/src/framework/internal/metrics.cc
+++ b/src/framework/internal/metrics.cc
@@ -27,21 +27,6 @@
   return text;
 }
 
-template <class Metric, class Key>
-void RenderLevels(std::string& text, const char* type,
-                  const std::map<Key, std::unique_ptr<Metric>>& metrics) {
-  std::string last_name;
-  for (const auto& [key, metric] : metrics) {
-    if (key.first != last_name) {
-      text.append("# TYPE ").append(key.first).append(" ").append(type).append("\n");
-      last_name = key.first;
-    }
-    const std::string labels = RenderLabels(key.second);
-    text.append(key.first).append(labels.empty() ? "" : "{" + labels + "}").append(" ");
-    text.append(std::to_string(metric->Value())).append("\n");
-  }
-}
-
 }  // namespace
 
 Counter& Metrics::GetCounter(const std::string& name, const MetricLabels& labels) {
@@ -56,15 +41,42 @@
   return FindOrCreate(this->mutex, this->latencies, Key{name, labels});
 }
 
+void Metrics::Describe(const std::string& name, const std::string& help) {
+  const std::lock_guard lock(this->mutex);
+  this->help[name] = help;
+}
+
+void Metrics::RenderHead(std::string& text, const std::string& name, const char* type) const {
+  if (const auto found = this->help.find(name); found != this->help.end()) {
+    text.append("# HELP ").append(name).append(" ").append(found->second).append("\n");
+  }
+  text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+template <class Metric>
+void Metrics::RenderLevels(std::string& text, const char* type,
+                           const std::map<Key, std::unique_ptr<Metric>>& metrics) const {
+  std::string last_name;
+  for (const auto& [key, metric] : metrics) {
+    if (key.first != last_name) {
+      this->RenderHead(text, key.first, type);
+      last_name = key.first;
+    }
+    const std::string labels = RenderLabels(key.second);
+    text.append(key.first).append(labels.empty() ? "" : "{" + labels + "}").append(" ");
+    text.append(std::to_string(metric->Value())).append("\n");
+  }
+}
+
 std::string Metrics::Render() const {
   const std::lock_guard lock(this->mutex);
   std::string text;
-  RenderLevels(text, "counter", this->counters);
-  RenderLevels(text, "gauge", this->gauges);
+  this->RenderLevels(text, "counter", this->counters);
+  this->RenderLevels(text, "gauge", this->gauges);
   std::string last_name;
   for (const auto& [key, latency] : this->latencies) {
     if (key.first != last_name) {
-      text.append("# TYPE ").append(key.first).append(" histogram\n");
+      this->RenderHead(text, key.first, "histogram");
       last_name = key.first;
     }
     latency->RenderTo(text, key.first, RenderLabels(key.second));
--- a/src/framework/metrics.h
+++ b/src/framework/metrics.h
@@ -27,13 +27,23 @@
   /// Returns the latency histogram of a name and labels; its unit is seconds.
   LatencyHistogram& GetLatency(const std::string& name, const MetricLabels& labels = {});
 
+  /// Sets the help text of all metrics of a name; the text states the unit.
+  void Describe(const std::string& name, const std::string& help);
+
   /// Renders every metric.
   [[nodiscard]] std::string Render() const;
 
  private:
   using Key = std::pair<std::string, MetricLabels>;
 
+  void RenderHead(std::string& text, const std::string& name, const char* type) const;
+
+  template <class Metric>
+  void RenderLevels(std::string& text, const char* type,
+                    const std::map<Key, std::unique_ptr<Metric>>& metrics) const;
+
   mutable std::mutex mutex;
+  std::map<std::string, std::string> help;
   std::map<Key, std::unique_ptr<Counter>> counters;
   std::map<Key, std::unique_ptr<Gauge>> gauges;
   std::map<Key, std::unique_ptr<LatencyHistogram>> latencies;
--- a/src/framework/tests/metrics_test.cc
+++ b/src/framework/tests/metrics_test.cc
@@ -14,6 +14,14 @@
   CHECK(text.find("streams 2\n") != std::string::npos);
 }
 
+TEST_CASE("a described metric has its help line before its type") {
+  Metrics metrics;
+  metrics.Describe("wait_seconds", "Time in the queue, in seconds.");
+  metrics.GetLatency("wait_seconds").Record(std::chrono::milliseconds(5));
+  CHECK(metrics.Render().find("# HELP wait_seconds Time in the queue, in seconds.\n"
+                              "# TYPE wait_seconds histogram\n") == 0);
+}
+
 TEST_CASE("a quantile lies within one bin of the recorded value") {
   LatencyHistogram histogram;
   for (int sample = 1; sample <= 100; ++sample) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,11 @@
   Gateway(const net::asio::any_io_executor& executor, std::string zone)
       : executor(executor), book(std::move(zone)), admission(executor, this->book) {}
 
+  /// Whether a configuration and the list of endpoints are known, from any source.
+  [[nodiscard]] bool KnowsCluster() const {
+    return this->routes.Config() != nullptr && this->endpoints_known;
+  }
+
   net::asio::any_io_executor executor;
   RouteTable routes;
   EndpointBook book;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -46,7 +46,6 @@
 awaitable<bool> EndpointAttempt::Connect(net::SteadyTime until, milliseconds longest_idle) {
   this->connection = this->pool.Take(*this->endpoint, longest_idle, net::Now());
   if (this->connection) {
-    this->was_reused = true;
     co_return true;
   }
   this->connection = std::make_shared<EndpointConnection>(this->executor, this->endpoint);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -65,11 +65,6 @@
   /// Closes the connection.
   void Abort();
 
-  /// Whether the body has a length or an own end, so that a cut can be told from the end.
-  [[nodiscard]] bool IsFramed() const { return !this->parser->need_eof(); }
-
-  [[nodiscard]] bool WasReused() const { return this->was_reused; }
-
  private:
   using Parser = net::http::response_parser<net::http::string_body>;
 
@@ -85,7 +80,6 @@
   CancelScope& cancel;
   ConnectionPool::Connection connection;
   std::unique_ptr<Parser> parser;
-  bool was_reused = false;
 };
 
 }  // namespace lentilhead::gateway::internal
--- /dev/null
+++ b/src/gateway/internal/online_delivery.cc
@@ -0,0 +1,177 @@
+#include <algorithm>
+
+#include "gateway/internal/answers.h"
+#include "gateway/internal/online_run.h"
+#include "platform/request_codec.h"
+
+namespace lentilhead::gateway::internal {
+
+namespace {
+
+using net::asio::awaitable;
+using net::http::status;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWriteGrace{1000};  // an answer that is ready is written past the deadline
+
+}  // namespace
+
+net::SteadyTime OnlineRun::WriteLimit() const {
+  return std::max(this->facts.deadline, net::Now()) + kWriteGrace;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassWhole(EndpointAttempt& attempt,
+                                                const EndpointLease& lease, AnswerHead answer) {
+  const net::SteadyTime begun = net::Now();
+  const bool can_repeat = this->facts.IsRepeatable() && this->MayTryAgain();
+  BodyPiece body = co_await attempt.ReadRest(
+      kWholeBytes,
+      AttemptPolicy::AnswerBy(*this->facts.route, begun, this->facts.deadline, can_repeat));
+  if (this->cancel.IsCancelled()) {
+    co_return Step::kDone;
+  }
+  if (body.state == BodyState::kBroken || body.state == BodyState::kTimedOut) {
+    co_return co_await this->AfterFailure(lease, "body_cut");
+  }
+  const int code = static_cast<int>(answer.head.result_int());
+  if (code / 100 == 5 && this->facts.IsRepeatable() && this->MayTryAgain() && !this->stream_begun) {
+    co_return co_await this->AfterFailure(lease, "endpoint_error");
+  }
+  if (this->stream_begun) {
+    co_await this->Fail(status::bad_gateway, "resume_refused");
+    co_return Step::kDone;
+  }
+  const bool unsafe_promise = (code == 503 || code == 429 || code == 408) && this->record.maybe_run;
+  if (unsafe_promise && !this->facts.IsRepeatable()) {
+    co_await this->Fail(status::bad_gateway, "endpoint_error");
+    co_return Step::kDone;
+  }
+  if (body.state == BodyState::kMore) {
+    co_return co_await this->PassLarge(attempt, std::move(answer), std::move(body.bytes));
+  }
+  EndpointEvidence::NotePace(lease.Endpoint(), net::Now() - this->facts.arrival);
+  net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
+  const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
+  const char* outcome = sent ? "served" : "gone";
+  this->Count(outcome, "answer");
+  this->LogOutcome(outcome, "answer", code);
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassLarge(EndpointAttempt& attempt, AnswerHead answer,
+                                                std::string begun) {
+  this->stream_begun = true;
+  bool sent = co_await this->session.BeginPieces(platform::EncodeAnswerHead(answer.head),
+                                                 this->WriteLimit());
+  BodyPiece piece{std::move(begun), BodyState::kMore};
+  while (sent) {
+    if (!piece.bytes.empty()) {
+      sent = co_await this->session.SendPiece(std::move(piece.bytes), this->WriteLimit());
+    }
+    if (!sent || piece.state != BodyState::kMore) {
+      break;
+    }
+    piece = co_await attempt.ReadPiece(this->facts.deadline);
+  }
+  if (!sent || piece.state != BodyState::kEnd) {
+    co_await this->Fail(status::bad_gateway, sent ? "body_cut" : "caller_closed");
+    co_return Step::kDone;
+  }
+  co_await this->session.EndPieces(this->WriteLimit());
+  this->Count("served", "answer");
+  this->LogOutcome("served", "answer", static_cast<int>(answer.head.result_int()));
+  co_return Step::kDone;
+}
+
+awaitable<bool> OnlineRun::BeginStream(const AnswerHead& answer) {
+  if (this->stream_begun) {
+    co_return true;
+  }
+  this->stream_begun = true;
+  this->first_event = net::Now();
+  this->gateway.metrics.GetLatency("gateway_first_event_seconds")
+      .Record(this->first_event - this->facts.arrival);
+  co_return co_await this->session.BeginPieces(platform::EncodeAnswerHead(answer.head),
+                                               this->WriteLimit());
+}
+
+awaitable<bool> OnlineRun::ForwardEvents(std::vector<StreamEvent> events,
+                                         const AnswerHead& answer) {
+  std::string bytes;
+  for (StreamEvent& event : events) {
+    const bool repeated = event.id && this->last_event && *event.id <= *this->last_event;
+    if (repeated) {
+      continue;
+    }
+    if (event.id) {
+      this->last_event = event.id;
+    }
+    bytes += event.bytes;
+  }
+  if (bytes.empty()) {
+    co_return true;
+  }
+  const bool begun = co_await this->BeginStream(answer);
+  if (!begun) {
+    co_return false;
+  }
+  co_return co_await this->session.SendPiece(std::move(bytes), this->WriteLimit());
+}
+
+awaitable<OnlineRun::Step> OnlineRun::EndStream(const std::string& rest, const AnswerHead& answer) {
+  bool sent = co_await this->BeginStream(answer);
+  if (sent && !rest.empty()) {
+    sent = co_await this->session.SendPiece(rest, this->WriteLimit());
+  }
+  if (sent) {
+    sent = co_await this->session.EndPieces(this->WriteLimit());
+  }
+  const char* outcome = sent ? "served" : "gone";
+  this->Count(outcome, "stream");
+  this->LogOutcome(outcome, "stream", static_cast<int>(answer.head.result_int()));
+  co_return Step::kDone;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::PassEvents(EndpointAttempt& attempt,
+                                                 const EndpointLease& lease, AnswerHead answer) {
+  EventCutter cutter;
+  net::SteadyTime last_arrival;
+  while (true) {
+    const net::SteadyTime now = net::Now();
+    const bool can_repeat = this->facts.IsRepeatable() && this->MayTryAgain();
+    const net::SteadyTime until =
+        this->stream_begun
+            ? AttemptPolicy::NextEventBy(*this->facts.route, now, this->facts.deadline, can_repeat)
+            : AttemptPolicy::AnswerBy(*this->facts.route, now, this->facts.deadline, can_repeat);
+    BodyPiece piece = co_await attempt.ReadPiece(until);
+    if (this->cancel.IsCancelled()) {
+      co_return Step::kDone;
+    }
+    std::vector<StreamEvent> events = cutter.Add(piece.bytes);
+    if (!events.empty()) {
+      const net::SteadyTime arrival = net::Now();
+      if (last_arrival != net::SteadyTime{}) {
+        EndpointEvidence::NotePace(lease.Endpoint(),
+                                   (arrival - last_arrival) / static_cast<int>(events.size()));
+      }
+      last_arrival = arrival;
+      const bool sent = co_await this->ForwardEvents(std::move(events), answer);
+      if (!sent) {
+        this->Count("gone", "caller_closed");
+        this->LogOutcome("gone", "caller_closed", 0);
+        this->session.Abort();
+        co_return Step::kDone;
+      }
+    }
+    if (piece.state == BodyState::kEnd) {
+      co_return co_await this->EndStream(cutter.Rest(), answer);
+    }
+    if (piece.state != BodyState::kMore) {
+      const bool silent = piece.state == BodyState::kTimedOut;
+      const std::string_view cause = silent ? kSilentStream : std::string_view("stream_cut");
+      co_return co_await this->AfterFailure(lease, cause);
+    }
+  }
+}
+
+}  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -24,6 +24,10 @@
  private:
   enum class Step { kDone, kTryAgain };
 
+  /// Answers up to this size are checked whole before the caller gets a byte; most are far smaller.
+  static constexpr std::size_t kWholeBytes = 256 << 10;
+  static constexpr std::string_view kSilentStream = "stream_silent";
+
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
   net::asio::awaitable<Step> HandleAnswer(EndpointAttempt& attempt, const EndpointLease& lease,
                                           AnswerHead answer);
--- a/src/gateway/internal/route_table.cc
+++ b/src/gateway/internal/route_table.cc
@@ -41,18 +41,6 @@
                      [](const Route* route) { return route->kind == RouteKind::kBatch; });
 }
 
-const Route* RouteTable::Named(const std::string& name) const {
-  if (!this->config) {
-    return nullptr;
-  }
-  for (const Route& route : this->config->routes) {
-    if (route.name == name) {
-      return &route;
-    }
-  }
-  return nullptr;
-}
-
 std::string RouteTable::PickService(const Route& route, double draw) {
   double total = 0;
   for (const ServiceShare& share : route.services) {
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -24,9 +24,6 @@
   /// Tells whether a host has a route of batch jobs.
   [[nodiscard]] bool HasBatchRoute(const std::string& host) const;
 
-  /// Finds the route with a name, or nothing.
-  [[nodiscard]] const Route* Named(const std::string& name) const;
-
   /// The configuration in force; null before the first.
   [[nodiscard]] const std::shared_ptr<const ServingConfig>& Config() const { return this->config; }
 
--- a/src/gateway/types/node_settings.h
+++ b/src/gateway/types/node_settings.h
@@ -20,10 +20,8 @@
   std::uint16_t load_port = 0;              ///< UDP port of load messages, the same on all nodes
   std::vector<net::tcp::endpoint> seeds;    ///< peers' listeners of a few nodes, maybe stale
   net::tcp::endpoint store;
-  std::size_t row_bytes = 65536;                ///< largest value of a row
-  std::size_t object_bytes = 8388608;           ///< largest object
-  std::chrono::milliseconds stop_grace{8000};   ///< from the stop signal to the kill
-  std::chrono::milliseconds drain_bound{2000};  ///< in which a leaving endpoint gets no more work
+  std::size_t row_bytes = 65536;                    ///< largest value of a row
+  std::chrono::milliseconds stop_grace{8000};       ///< from the stop signal to the kill
   std::chrono::milliseconds job_retention{120000};  ///< a job stays readable at least so long
 };
 
--- /dev/null
+++ b/src/peers/internal/view_relay.cc
@@ -0,0 +1,44 @@
+#include "peers/view_relay.h"
+
+#include "net/http_caller.h"
+
+namespace lentilhead::peers {
+
+namespace {
+
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPeriod{200};  // a change that only peers have is in force soon after
+constexpr milliseconds kTimeout{600};
+
+}  // namespace
+
+awaitable<void> ViewRelay::Run(std::function<bool()> store_silent) {
+  net::asio::steady_timer timer(this->gateway.executor);
+  while (true) {
+    timer.expires_after(kPeriod);
+    co_await timer.async_wait(net::kAwaitWithError);
+    const bool silent = store_silent();
+    net::asio::ip::address peer = this->peers.PeerAhead(silent);
+    if (peer.is_unspecified() && !this->gateway.KnowsCluster() && !this->gateway.stopping) {
+      peer = this->peers.AnyPeer();
+    }
+    if (!peer.is_unspecified()) {
+      co_await this->Fetch(peer, silent || !this->gateway.endpoints_known);
+    }
+  }
+}
+
+awaitable<void> ViewRelay::Fetch(net::asio::ip::address peer, bool endpoints_too) {
+  net::HttpCaller caller(this->gateway.executor, {peer, this->port});
+  net::Request request(net::http::verb::get, kPath, 11);
+  net::HttpCaller::Outcome outcome = co_await caller.Call(std::move(request), kTimeout);
+  const auto* response = std::get_if<net::Response>(&outcome);
+  if (response == nullptr || response->result() != net::http::status::ok) {
+    co_return;  // a peer that is gone is noticed by its silence
+  }
+  this->view.AdoptEncoded(response->body(), endpoints_too);
+}
+
+}  // namespace lentilhead::peers
--- /dev/null
+++ b/src/peers/view_relay.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <functional>
+
+#include "gateway/gateway.h"
+#include "peers/cluster_view.h"
+#include "peers/peer_exchange.h"
+
+namespace lentilhead::peers {
+
+/// Fetches the view of a peer that knows more than this node.
+class ViewRelay {
+ public:
+  /// Path under which a node answers with its view.
+  static constexpr char kPath[] = "/view";
+
+  /// @param port port of the peers' listeners, the same on all nodes.
+  ViewRelay(gateway::Gateway& gateway, ClusterView& view, PeerExchange& peers, std::uint16_t port)
+      : gateway(gateway), view(view), peers(peers), port(port) {}
+
+  /// Looks for such a peer until the event loop stops.
+  /// @param store_silent tells whether the store has not answered this node for a while; only then
+  ///   is a peer's list of endpoints taken over.
+  net::asio::awaitable<void> Run(std::function<bool()> store_silent);
+
+ private:
+  net::asio::awaitable<void> Fetch(net::asio::ip::address peer, bool endpoints_too);
+
+  gateway::Gateway& gateway;
+  ClusterView& view;
+  PeerExchange& peers;
+  std::uint16_t port;
+};
+
+}  // namespace lentilhead::peers
