Forget jobs whose claims were removed while no changes were heard

Cause: after a gap in the store's history the whole table of claims was taken over like changes, so a claim that was removed in the gap stayed in the directory for good, and its owner went on with the job. Ruled out: the feed itself, which marks removals. Now a full reading drops the claims that it lacks, unless they are newer than the reading, and a job that is owned then is dropped.

--- a/src/apps/node/node_followers.cc
+++ b/src/apps/node/node_followers.cc
@@ -55,8 +55,8 @@
   return {this->executor,
           this->store,
           {jobs::internal::kClaimTable, jobs::internal::JobParts(), kClaimPause},
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-            this->job_service.ReplaceClaims(rows);
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+            this->job_service.ReplaceClaims(rows, version);
           },
           [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
             this->job_service.ChangeClaims(rows);
--- a/src/jobs/internal/job_directory.cc
+++ b/src/jobs/internal/job_directory.cc
@@ -28,6 +28,20 @@
   return true;
 }
 
+std::vector<std::string> JobDirectory::RetainOnly(const std::set<std::string>& listed,
+                                                  rowstore::Version version) {
+  std::vector<std::string> forgotten;
+  for (const auto& [job, entry] : this->entries) {
+    if (!listed.contains(job) && entry.claim.version <= version) {
+      forgotten.push_back(job);
+    }
+  }
+  for (const std::string& job : forgotten) {
+    this->entries.erase(job);
+  }
+  return forgotten;
+}
+
 const Claim* JobDirectory::Find(const std::string& job) const {
   const auto found = this->entries.find(job);
   return found == this->entries.end() ? nullptr : &found->second.claim;
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -37,12 +37,32 @@
       retention(retention),
       started(net::Now()) {}
 
-void JobService::ReplaceClaims(const std::vector<rowstore::Row>& rows) { this->ChangeClaims(rows); }
+void JobService::ReplaceClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+  std::set<std::string> listed;
+  for (const rowstore::Row& row : rows) {
+    if (!row.removed) {
+      listed.insert(row.key.key);
+    }
+  }
+  for (const std::string& job : this->directory.RetainOnly(listed, version)) {
+    this->ForgetRemoved(job);
+  }
+  this->ChangeClaims(rows);
+}
+
+void JobService::ForgetRemoved(const std::string& job) {
+  net::LogLine("job_forgotten").With("job", job).With("reason", "claim_removed");
+  if (const auto owned = this->owned.find(job); owned != this->owned.end()) {
+    const Job held = owned->second;
+    this->Drop(held, "claim_removed");
+  }
+}
 
 void JobService::ChangeClaims(const std::vector<rowstore::Row>& rows) {
   for (const rowstore::Row& row : rows) {
     if (row.removed) {
       this->directory.Remove(row.key.key);
+      this->ForgetRemoved(row.key.key);
     } else if (const std::optional<Claim> claim = internal::DecodeClaim(row)) {
       this->NoteClaim(*claim);
     }
--- a/src/jobs/job_directory.h
+++ b/src/jobs/job_directory.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "jobs/types/claim.h"
 #include "net/http_types.h"
+#include "rowstore/types/row.h"
 
 namespace lentilhead::jobs {
 
@@ -25,6 +27,12 @@
   /// Forgets a job.
   void Remove(const std::string& job) { this->entries.erase(job); }
 
+  /// Forgets the jobs that a reading of all claims lacks.
+  /// @param listed jobs in the reading. @param version version that it shows; newer claims stay.
+  /// @return the jobs that were forgotten.
+  std::vector<std::string> RetainOnly(const std::set<std::string>& listed,
+                                      rowstore::Version version);
+
   /// Returns the claim of a job, or nothing.
   [[nodiscard]] const Claim* Find(const std::string& job) const;
 
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -21,8 +21,11 @@
   JobService(gateway::Gateway& gateway, JobStore& store, peers::PeerExchange& peers,
              peers::NodePresence& presence, std::chrono::milliseconds retention);
 
-  /// Takes over claims as read from the store.
-  void ReplaceClaims(const std::vector<rowstore::Row>& rows);
+  /// Takes over all claims as read from the store; jobs that the reading lacks are forgotten.
+  /// @param version version of the store that the reading shows.
+  void ReplaceClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version);
+
+  /// Takes over claims that have changed or were removed.
   void ChangeClaims(const std::vector<rowstore::Row>& rows);
 
   /// Starts work on a job that this node has just accepted.
@@ -51,7 +54,7 @@
   using Job = std::shared_ptr<internal::OwnedJob>;
 
   void Drop(const Job& job, std::string_view reason);
-  void StartItems();
+  void ForgetRemoved(const std::string& job);
   bool StartNextItem();
   void StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease);
   void GiveUpLateItems(const Job& job);
--- /dev/null
+++ b/src/jobs/tests/job_directory_test.cc
@@ -0,0 +1,49 @@
+#include "jobs/job_directory.h"
+
+#include <doctest/doctest.h>
+
+namespace lentilhead::jobs {
+namespace {
+
+Claim ClaimOf(const std::string& job, rowstore::Version version) {
+  Claim claim;
+  claim.job = job;
+  claim.version = version;
+  return claim;
+}
+
+TEST_CASE("an older claim does not replace a newer one") {
+  JobDirectory directory;
+  CHECK(directory.Put(ClaimOf("one", 7)));
+  CHECK_FALSE(directory.Put(ClaimOf("one", 6)));
+  CHECK(directory.Find("one")->version == 7);
+}
+
+TEST_CASE("a claim that was removed while no changes were heard is forgotten") {
+  JobDirectory directory;
+  directory.Put(ClaimOf("kept", 3));
+  directory.Put(ClaimOf("removed", 4));
+  CHECK(directory.RetainOnly({"kept"}, 10) == std::vector<std::string>{"removed"});
+  CHECK(directory.Find("removed") == nullptr);
+  CHECK(directory.Find("kept") != nullptr);
+}
+
+TEST_CASE("a claim that is newer than a reading of all claims stays") {
+  JobDirectory directory;
+  directory.Put(ClaimOf("accepted-since", 11));
+  CHECK(directory.RetainOnly({}, 10).empty());
+  CHECK(directory.Find("accepted-since") != nullptr);
+}
+
+TEST_CASE("nodes take a job over in turn, each at another time") {
+  const std::vector<std::string> alive = {"a#1", "b#1", "c#1"};
+  std::set<std::chrono::milliseconds> delays;
+  for (const std::string& node : alive) {
+    delays.insert(TakeoverPolicy::Delay("job", alive, node));
+  }
+  CHECK(delays.size() == alive.size());
+  CHECK(TakeoverPolicy::Delay("job", {}, "a#1") == *delays.begin());
+}
+
+}  // namespace
+}  // namespace lentilhead::jobs
