Repeat a request that went into a connection its endpoint had given up

Cause: an endpoint may drop an idle connection without notice; the request that is sent on it next is reset. This counted as a failure of the endpoint, cost an attempt of the route, and ended a request that may not be repeated with 502. Ruled out: the stated idle limit, which such endpoints undercut. Now a reset at once after a pause, with nothing read, is a stale connection: it is no evidence against the endpoint, a repeatable request goes to the same endpoint again on a new connection, and connections to that endpoint rest for at most half of the pause seen. A request that may not be repeated uses a connection that rested for at most 200 ms instead of 400.

--- a/src/apps/node/metric_help.cc
+++ b/src/apps/node/metric_help.cc
@@ -13,6 +13,8 @@
      "Time from arrival to the first event of a stream, in seconds."},
     {"gateway_attempt_failures_total", "Attempts at endpoints that failed, by cause."},
     {"gateway_not_executed_total", "Attempts that an endpoint turned down, by status."},
+    {"gateway_stale_connections_total",
+     "Attempts repeated as the endpoint had given up the idle connection."},
     {"job_results_total", "Results of batch items that became durable."},
     {"job_items_yielded_total", "Runs of batch items that were ended for online requests."},
     {"node_requests_at_work", "Requests that are read and not answered yet."},
--- a/src/gateway/endpoint_book.h
+++ b/src/gateway/endpoint_book.h
@@ -92,6 +92,10 @@
   /// @param out_of_reach it could not be reached, or is silent: other nodes meet the same.
   static void NoteFailure(EndpointState& state, net::SteadyTime now, bool out_of_reach);
 
+  /// The endpoint had given up a connection on which a request was sent after a pause.
+  static void NoteStaleConnection(EndpointState& state, std::chrono::milliseconds pause,
+                                  net::SteadyTime now);
+
   /// Another endpoint has the address now.
   static void NoteReplaced(EndpointState& state, net::SteadyTime now);
 
--- a/src/gateway/internal/connection_pool.cc
+++ b/src/gateway/internal/connection_pool.cc
@@ -12,7 +12,8 @@
 
 bool IsReusable(EndpointConnection& connection, std::chrono::milliseconds longest_idle,
                 net::SteadyTime now) {
-  const auto limit = std::min(longest_idle, connection.idle_limit);
+  const auto limit =
+      std::min({longest_idle, connection.idle_limit, connection.endpoint->IdleLimit(now)});
   return now - connection.idle_since < limit && connection.buffer.size() == 0 &&
          net::IsQuiet(connection.stream.socket());
 }
@@ -31,6 +32,7 @@
     found->second.pop_back();
     if (connection->endpoint.get() == &endpoint && IsReusable(*connection, longest_idle, now)) {
       connection->is_reused = true;
+      connection->idle_before = net::ToMilliseconds(now - connection->idle_since);
       return connection;
     }
   }
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/endpoint_book.h"
 #include "net/socket_options.h"
 #include "platform/request_codec.h"
 
@@ -16,6 +17,8 @@
 constexpr milliseconds kSilenceLimit{2000};  // as long as callers wait for the next event
 constexpr milliseconds kIdleMargin{700};     // reuse ends so long before the endpoint's idle limit
 constexpr milliseconds kUnstatedIdleLimit{1000};  // endpoints that state none close soon after
+constexpr milliseconds kStaleNotice{40};          // a reset comes within a round trip
+constexpr milliseconds kLeastStalePause{50};      // below, a reset is of the request, not the pause
 constexpr std::uint32_t kHeadBytes = 64 << 10;    // far above any head of an answer
 constexpr int kStrayAnswers = 3;                  // late answers that are passed over
 
@@ -73,12 +76,16 @@
   const ConnectionPool::Connection held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
   held->is_written = false;
+  held->sent_at = net::Now();
   held->stream.expires_at(limits.answer_by);
   auto shared_message = std::make_shared<net::Request>(std::move(message));
   net::asio::co_spawn(this->executor, WriteRequest(held, std::move(shared_message)),
                       net::asio::detached);
   StartOutcome outcome = co_await this->ReadHead(std::move(request_id), is_head, limits.answer_by);
-  if (std::holds_alternative<AttemptFailure>(outcome)) {
+  if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
+    if (*failure == AttemptFailure::kStale) {
+      EndpointEvidence::NoteStaleConnection(*this->endpoint, held->idle_before, net::Now());
+    }
     this->Abort();
   }
   co_return outcome;
@@ -99,6 +106,19 @@
   co_return true;
 }
 
+AttemptFailure EndpointAttempt::FailureOf(const net::ErrorCode& error) const {
+  if (error == net::beast::error::timeout) {
+    return AttemptFailure::kTimedOut;
+  }
+  const EndpointConnection& used = *this->connection;
+  const bool nothing_read = used.buffer.size() == 0 && !this->parser->got_some();
+  const bool at_once = net::Now() - used.sent_at < kStaleNotice;
+  const bool had_rested = used.is_reused && used.idle_before >= kLeastStalePause;
+  return had_rested && nothing_read && at_once && !this->cancel.IsCancelled()
+             ? AttemptFailure::kStale
+             : AttemptFailure::kUnknown;
+}
+
 awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::ReadHead(std::string request_id,
                                                                    bool is_head,
                                                                    net::SteadyTime until) {
@@ -111,8 +131,7 @@
     const auto [error, read] = co_await net::http::async_read_header(
         this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
     if (error) {
-      co_return error == net::beast::error::timeout ? AttemptFailure::kTimedOut
-                                                    : AttemptFailure::kUnknown;
+      co_return this->FailureOf(error);
     }
     AnswerHead answer{this->parser->get().base(), {}};
     answer.facts = platform::DecodeAnswer(answer.head);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -71,6 +71,7 @@
   net::asio::awaitable<bool> Connect(net::SteadyTime until, std::chrono::milliseconds longest_idle);
   net::asio::awaitable<StartOutcome> ReadHead(std::string request_id, bool is_head,
                                               net::SteadyTime until);
+  [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error) const;
   net::asio::awaitable<bool> PassOver(net::SteadyTime until);
   void Finish();
 
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -22,9 +22,11 @@
   net::beast::tcp_stream stream;
   net::beast::flat_buffer buffer;
   std::shared_ptr<EndpointState> endpoint;
-  bool is_written = true;  ///< no request is being written
-  bool is_reused = false;  ///< has carried a request before
+  bool is_written = true;   ///< no request is being written
+  bool is_reused = false;   ///< has carried a request before
+  net::SteadyTime sent_at;  ///< when the present request was sent
   net::SteadyTime idle_since;
+  std::chrono::milliseconds idle_before{0};    ///< pause before the present request
   std::chrono::milliseconds idle_limit{1000};  ///< reuse ends after so long a pause
 };
 
--- a/src/gateway/internal/endpoint_evidence.cc
+++ b/src/gateway/internal/endpoint_evidence.cc
@@ -11,6 +11,7 @@
 constexpr milliseconds kFirstSuspicion{300};       // a single failure is often of one connection
 constexpr milliseconds kLongestSuspicion{3000};    // an endpoint that is back is noticed by then
 constexpr milliseconds kReplacedSuspicion{10000};  // its entry lapses long before
+constexpr milliseconds kStaleBelief{10000};        // longer than most disruptions of a network
 constexpr int kLargestExponent = 5;
 constexpr double kPaceWeight = 0.15;  // of the newest sample; some ten samples decide
 
@@ -23,6 +24,13 @@
   state.last_answer = now;
 }
 
+void EndpointEvidence::NoteStaleConnection(EndpointState& state, milliseconds pause,
+                                           net::SteadyTime now) {
+  const bool known = now < state.stale_until;
+  state.stale_after = known ? std::min(state.stale_after, pause) : pause;
+  state.stale_until = now + kStaleBelief;
+}
+
 void EndpointEvidence::NoteReplaced(EndpointState& state, net::SteadyTime now) {
   state.suspect_until = now + kReplacedSuspicion;
   state.out_of_reach = true;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -16,7 +16,7 @@
 using net::http::status;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSafeIdle{400};  // a connection idle for less is not about to be closed
+constexpr milliseconds kSafeIdle{200};  // a connection idle for less is not about to be closed
 constexpr double kDrawSteps = 1000;
 
 double Draw() { return static_cast<double>(net::RandomBelow(1000)) / kDrawSteps; }
@@ -165,8 +165,7 @@
   EndpointAttempt attempt(this->gateway.executor, this->gateway.pool, lease.Shared(), this->cancel);
   AttemptLimits limits{AttemptPolicy::AnswerBy(route, now, this->facts.deadline, can_repeat),
                        this->facts.IsRepeatable() ? milliseconds::max() : kSafeIdle};
-  EndpointAttempt::StartOutcome outcome =
-      co_await attempt.Start(std::move(message), this->facts.request.id, limits);
+  EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
   if (this->cancel.IsCancelled()) {
     co_return Step::kDone;
   }
@@ -182,11 +181,33 @@
   co_return co_await this->HandleAnswer(attempt, lease, std::move(answer));
 }
 
+awaitable<EndpointAttempt::StartOutcome> OnlineRun::StartAttempt(EndpointAttempt& attempt,
+                                                                 const net::Request& message,
+                                                                 AttemptLimits limits) {
+  EndpointAttempt::StartOutcome outcome =
+      co_await attempt.Start(message, this->facts.request.id, limits);
+  const auto* failure = std::get_if<AttemptFailure>(&outcome);
+  const bool is_stale = failure != nullptr && *failure == AttemptFailure::kStale;
+  if (!is_stale || !this->facts.IsRepeatable() || this->cancel.IsCancelled()) {
+    co_return outcome;
+  }
+  net::LogLine("attempt_repeated", net::LogImportance::kRoutine)
+      .With("request", this->facts.request.id)
+      .With("endpoint", this->last_endpoint)
+      .With("cause", NameOf(*failure));
+  this->gateway.metrics.GetCounter("gateway_stale_connections_total").Add();
+  limits.longest_idle = milliseconds(0);
+  outcome = co_await attempt.Start(message, this->facts.request.id, limits);
+  co_return outcome;
+}
+
 awaitable<OnlineRun::Step> OnlineRun::AfterFailure(const EndpointLease& lease,
                                                    std::string_view cause) {
   const bool out_of_reach = cause == NameOf(AttemptFailure::kNotSent) ||
                             cause == NameOf(AttemptFailure::kTimedOut) || cause == kSilentStream;
-  EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(), out_of_reach);
+  if (cause != NameOf(AttemptFailure::kStale)) {
+    EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(), out_of_reach);
+  }
   this->gateway.metrics
       .GetCounter("gateway_attempt_failures_total", {{"cause", std::string(cause)}})
       .Add();
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -29,6 +29,9 @@
   static constexpr std::string_view kSilentStream = "stream_silent";
 
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
+  net::asio::awaitable<EndpointAttempt::StartOutcome> StartAttempt(EndpointAttempt& attempt,
+                                                                   const net::Request& message,
+                                                                   AttemptLimits limits);
   net::asio::awaitable<Step> HandleAnswer(EndpointAttempt& attempt, const EndpointLease& lease,
                                           AnswerHead answer);
   net::asio::awaitable<Step> PassWhole(EndpointAttempt& attempt, const EndpointLease& lease,
--- a/src/gateway/tests/endpoint_book_test.cc
+++ b/src/gateway/tests/endpoint_book_test.cc
@@ -151,6 +151,16 @@
   CHECK(book.BatchOfPeersAfter("node-zz", EndpointKey("one")) == 0);
 }
 
+TEST_CASE("connections rest for less once an endpoint was seen to give them up") {
+  EndpointState state;
+  CHECK(state.IdleLimit(kStart) == milliseconds::max());
+  EndpointEvidence::NoteStaleConnection(state, milliseconds(500), kStart);
+  EndpointEvidence::NoteStaleConnection(state, milliseconds(320), kStart);
+  EndpointEvidence::NoteStaleConnection(state, milliseconds(400), kStart);
+  CHECK(state.IdleLimit(kStart) == milliseconds(160));
+  CHECK(state.IdleLimit(kStart + std::chrono::minutes(1)) == milliseconds::max());
+}
+
 TEST_CASE("another start under the same id begins without load or suspicion") {
   EndpointBook book("a");
   book.Put(Entry("one"));
--- a/src/gateway/types/attempt_failure.h
+++ b/src/gateway/types/attempt_failure.h
@@ -9,6 +9,7 @@
   kNotSent,   ///< no byte of the request was written
   kUnknown,   ///< the request was written, in part or whole; it may have run
   kTimedOut,  ///< as kUnknown, and the endpoint was given up
+  kStale,     ///< as kUnknown, on an idle connection that the endpoint had given up
 };
 
 /// Name of a failure in logs.
@@ -20,6 +21,8 @@
       return "unknown";
     case AttemptFailure::kTimedOut:
       return "timed_out";
+    case AttemptFailure::kStale:
+      return "stale_connection";
   }
   return "unknown";
 }
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -28,6 +28,13 @@
   net::SteadyTime reported_at;
   double pace_ms = 0;   ///< smoothed time of a unit of work; 0 until one was seen
   int connections = 0;  ///< open connections of this node
+  std::chrono::milliseconds stale_after{0};  ///< shortest pause after which one was given up
+  net::SteadyTime stale_until;               ///< that is believed until then
+
+  /// Longest pause after which a connection may be used again, as far as failures show.
+  [[nodiscard]] std::chrono::milliseconds IdleLimit(net::SteadyTime now) const {
+    return now < this->stale_until ? this->stale_after / 2 : std::chrono::milliseconds::max();
+  }
 
   [[nodiscard]] int OwnTotal() const { return this->own_online + this->own_batch; }
   [[nodiscard]] int Batch() const { return this->own_batch + this->peer_batch; }
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -123,8 +123,10 @@
     co_return ItemStep::kGoOn;
   }
   if (const auto* failure = std::get_if<gateway::AttemptFailure>(&outcome)) {
-    gateway::EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(),
-                                           *failure != gateway::AttemptFailure::kUnknown);
+    if (*failure != gateway::AttemptFailure::kStale) {
+      gateway::EndpointEvidence::NoteFailure(lease.Endpoint(), net::Now(),
+                                             *failure != gateway::AttemptFailure::kUnknown);
+    }
     co_return ItemStep::kGoOn;
   }
   const AnswerHead answer = std::move(std::get<AnswerHead>(outcome));
