Judge endpoints by the share of attempts that fail at all nodes together

Cause: a node judged endpoints by its own consecutive failures alone, for 0.3 to 3 s, and any answer cleared them. With 69 nodes and 90 endpoints a node sends an endpoint a request every ten seconds or so, so an endpoint that fails four in ten requests was tried again and again. Now every node tells its peers its decayed counts of attempts and failures; an endpoint at which over 12 in 100 attempts fail gets online work only when no other has room, and no batch work.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -310,6 +310,7 @@
                            !this->peers.PeerWithStore().is_unspecified(), net::Now());
     this->gateway.pool.Prune(net::Now());
     this->gateway.book.Prune(net::Now());
+    this->gateway.book.Failures().Judge(this->gateway.book.All(), net::Now());
     this->gateway.admission.Dispatch();
     if (ticks % kSettingsCheckTicks == 0 &&
         ReadFile(this->options.settings_path) != this->settings_text) {
--- a/src/gateway/endpoint_book.h
+++ b/src/gateway/endpoint_book.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/failure_judge.h"
 #include "gateway/types/choice.h"
 #include "gateway/types/choice_request.h"
 #include "gateway/types/endpoint_entry.h"
@@ -19,7 +20,7 @@
 class EndpointBook {
  public:
   /// @param zone availability zone of this node; its endpoints are preferred among equals.
-  explicit EndpointBook(std::string zone) : zone(std::move(zone)) {}
+  explicit EndpointBook(std::string zone) : zone(zone), failures(std::move(zone)) {}
 
   /// Takes over the whole list.
   /// @param keep_missing_until endpoints that the list lacks stay usable until then.
@@ -41,6 +42,9 @@
   /// Replaces what a peer has at the endpoints; an empty list when the peer is gone.
   void SetPeerLoad(const std::string& peer, const std::vector<EndpointLoad>& loads);
 
+  /// Tells endpoints that fail too often from the others.
+  [[nodiscard]] FailureJudge& Failures() { return this->failures; }
+
   /// Keys of the endpoints that this node found out of reach lately.
   [[nodiscard]] std::vector<std::uint32_t> Unreachable(net::SteadyTime now) const;
 
@@ -77,6 +81,7 @@
   void AddPeerLoad(const PeerLoads& loads, int sign);
 
   std::string zone;
+  FailureJudge failures;
   std::map<std::string, std::shared_ptr<EndpointState>> endpoints;
   std::map<std::uint32_t, std::shared_ptr<EndpointState>> by_key;
   std::map<std::string, PeerLoads> peers;
@@ -99,6 +104,12 @@
   /// Another endpoint has the address now.
   static void NoteReplaced(EndpointState& state, net::SteadyTime now);
 
+  /// A request is sent to the endpoint.
+  static void NoteAttempt(EndpointState& state, net::SteadyTime now);
+
+  /// The endpoint answered, but failed at the request or turned it down without being full.
+  static void NoteUnsound(EndpointState& state, net::SteadyTime now);
+
   /// The endpoint stated its load.
   static void NoteLoad(EndpointState& state, const ReportedLoad& load, net::SteadyTime now);
 
--- a/src/gateway/internal/endpoint_book.cc
+++ b/src/gateway/internal/endpoint_book.cc
@@ -35,7 +35,7 @@
 /// What evidence says of an endpoint, from worst to best.
 enum class Trust {
   kOutOfReach,  ///< it could not be reached lately
-  kDoubtful,    ///< a connection to it failed lately
+  kDoubtful,    ///< an attempt at it failed lately, or too many do
   kFull,
 };
 
@@ -43,8 +43,8 @@
 Trust TrustIn(const EndpointState& state, net::SteadyTime now) {
   const bool peers_suspect =
       now < state.peers_suspect_until && now - state.last_answer > kPeerSuspicion;
-  const bool suspect = now < state.suspect_until;
-  if (peers_suspect || (suspect && state.out_of_reach)) {
+  const bool suspect = now < state.suspect_until || state.doubted;
+  if (peers_suspect || (now < state.suspect_until && state.out_of_reach)) {
     return Trust::kOutOfReach;
   }
   return suspect ? Trust::kDoubtful : Trust::kFull;
--- a/src/gateway/internal/endpoint_evidence.cc
+++ b/src/gateway/internal/endpoint_evidence.cc
@@ -41,10 +41,19 @@
       std::min(kFirstSuspicion * (1 << std::min(state.failures_in_row, kLargestExponent)),
                kLongestSuspicion);
   ++state.failures_in_row;
+  state.failures.Add(now);
   state.suspect_until = now + span;
   state.out_of_reach = out_of_reach;
 }
 
+void EndpointEvidence::NoteAttempt(EndpointState& state, net::SteadyTime now) {
+  state.attempts.Add(now);
+}
+
+void EndpointEvidence::NoteUnsound(EndpointState& state, net::SteadyTime now) {
+  state.failures.Add(now);
+}
+
 void EndpointEvidence::NoteLoad(EndpointState& state, const ReportedLoad& load,
                                 net::SteadyTime now) {
   state.reported = load;
--- /dev/null
+++ b/src/gateway/internal/failure_judge.cc
@@ -0,0 +1,95 @@
+#include "gateway/failure_judge.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "gateway/endpoint_book.h"
+#include "net/log_line.h"
+
+namespace lentilhead::gateway {
+
+namespace {
+
+constexpr double kTenths = 10;
+constexpr double kDoubtedShare = 0.12;     // lost answers and broken ones stay at some 5 in 100
+constexpr double kLeastFailures = 2.5;     // fewer are of single connections
+constexpr double kOtherZonesWeight = 2.0;  // attempts' worth of what other zones saw
+
+int ToTenths(double count) { return static_cast<int>(std::lround(count * kTenths)); }
+
+}  // namespace
+
+FailureReport FailureJudge::OwnReport(const Endpoints& endpoints, net::SteadyTime now) const {
+  FailureReport report{this->zone, {}, {}};
+  std::map<std::uint32_t, double> attempts;
+  for (const auto& [id, state] : endpoints) {
+    attempts[EndpointKey(state->entry.service)] += state->attempts.At(now);
+    if (const int tenths = ToTenths(state->failures.At(now)); tenths > 0) {
+      report.failures.push_back({state->key, tenths});
+    }
+  }
+  for (const auto& [service, count] : attempts) {
+    if (const int tenths = ToTenths(count); tenths > 0) {
+      report.attempts.push_back({service, tenths});
+    }
+  }
+  return report;
+}
+
+void FailureJudge::SetPeerReport(const std::string& peer, FailureReport report) {
+  this->reports[peer] = std::move(report);
+}
+
+void FailureJudge::Add(EvidenceByKey& sums, const std::vector<CountedKey>& counts, bool own_zone) {
+  for (const CountedKey& count : counts) {
+    Evidence& sum = sums[count.key];
+    (own_zone ? sum.own_zone : sum.other_zones) += count.tenths / kTenths;
+  }
+}
+
+double FailureJudge::Share(const Evidence& failures, const Evidence& attempts) {
+  const double elsewhere =
+      failures.other_zones == 0
+          ? 0
+          : failures.other_zones / std::max(attempts.other_zones, failures.other_zones);
+  return (failures.own_zone + kOtherZonesWeight * elsewhere) /
+         (std::max(attempts.own_zone, failures.own_zone) + kOtherZonesWeight);
+}
+
+void FailureJudge::Judge(const Endpoints& endpoints, net::SteadyTime now) const {
+  EvidenceByKey attempts;
+  EvidenceByKey failures;
+  const FailureReport own = this->OwnReport(endpoints, now);
+  Add(attempts, own.attempts, true);
+  Add(failures, own.failures, true);
+  for (const auto& [peer, report] : this->reports) {
+    Add(attempts, report.attempts, report.zone == this->zone);
+    Add(failures, report.failures, report.zone == this->zone);
+  }
+  std::map<std::uint32_t, int> endpoints_of;
+  for (const auto& [id, state] : endpoints) {
+    ++endpoints_of[EndpointKey(state->entry.service)];
+  }
+  for (const auto& [id, state] : endpoints) {
+    const Evidence& failed = failures[state->key];
+    const std::uint32_t service = EndpointKey(state->entry.service);
+    Evidence expected = attempts[service];
+    expected.own_zone /= endpoints_of[service];
+    expected.other_zones /= endpoints_of[service];
+    const double share = Share(failed, expected);
+    const bool doubted =
+        share > kDoubtedShare && failed.own_zone + failed.other_zones >= kLeastFailures;
+    if (doubted != state->doubted) {
+      net::LogLine(doubted ? "endpoint_doubted" : "endpoint_trusted")
+          .With("endpoint", id)
+          .With("share", share)
+          .With("failures", failed.own_zone)
+          .With("failures_other_zones", failed.other_zones)
+          .With("attempts", expected.own_zone)
+          .With("peers", this->reports.size());
+    }
+    state->doubted = doubted;
+  }
+}
+
+}  // namespace lentilhead::gateway
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -37,6 +37,9 @@
   if (code / 100 == 5 && this->facts.IsRepeatable() && this->MayTryAgain() && !this->stream_begun) {
     co_return co_await this->AfterFailure(lease, "endpoint_error");
   }
+  if (answer.head.result() == status::internal_server_error) {
+    EndpointEvidence::NoteUnsound(lease.Endpoint(), net::Now());
+  }
   if (this->stream_begun) {
     co_await this->Fail(status::bad_gateway, "resume_refused");
     co_return Step::kDone;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -161,6 +161,7 @@
   AttemptOptions options{this->last_endpoint, net::ToMilliseconds(this->facts.deadline - now),
                          this->last_event};
   net::Request message = platform::EncodeAttempt(this->facts.request, options);
+  EndpointEvidence::NoteAttempt(lease.Endpoint(), now);
   this->LogAttempt(lease.Endpoint(), now);
   EndpointAttempt attempt(this->gateway.executor, this->gateway.pool, lease.Shared(), this->cancel);
   AttemptLimits limits{AttemptPolicy::AnswerBy(route, now, this->facts.deadline, can_repeat),
@@ -247,6 +248,11 @@
     EndpointEvidence::NoteReplaced(lease.Endpoint(), net::Now());
     co_return Step::kTryAgain;
   }
+  const bool had_room =
+      EndpointBook::EstimatedTotal(lease.Endpoint(), net::Now()) <= lease.Endpoint().entry.slots;
+  if (had_room) {
+    EndpointEvidence::NoteUnsound(lease.Endpoint(), net::Now());
+  }
   ++this->record.sent;
   if (this->MayTryAgain() && net::Now() < this->facts.deadline) {
     co_return Step::kTryAgain;
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "gateway/types/decaying_count.h"
 #include "gateway/types/endpoint_entry.h"
 #include "gateway/types/reported_load.h"
 
@@ -19,6 +20,9 @@
   net::SteadyTime last_answer;
   bool out_of_reach = false;  ///< the last failure was of the endpoint, not of a connection
   int failures_in_row = 0;
+  DecayingCount attempts;  ///< requests of this node that were sent there lately
+  DecayingCount failures;  ///< those of them that failed
+  bool doubted = false;    ///< too large a share of attempts fails there, at all nodes together
   int own_online = 0;
   int own_batch = 0;
   int peer_online = 0;
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -115,6 +115,7 @@
   options.endpoint_id = lease.Endpoint().entry.id;
   options.last_event_id = ledger.Progress(item).last_event;
   net::Request message = platform::EncodeAttempt(request, options);
+  gateway::EndpointEvidence::NoteAttempt(lease.Endpoint(), net::Now());
   EndpointAttempt attempt(gateway.executor, gateway.pool, lease.Shared(), cancel);
   AttemptLimits limits{net::Now() + kItemSilence, milliseconds::max()};
   EndpointAttempt::StartOutcome outcome =
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -60,7 +60,8 @@
                       this->gateway.stopping,
                       this->store_served && this->store_served(),
                       this->gateway.book.Unreachable(now),
-                      this->gateway.book.OwnLoads()};
+                      this->gateway.book.OwnLoads(),
+                      this->gateway.book.Failures().OwnReport(this->gateway.book.All(), now)};
   const std::string bytes = Encode(message);
   for (const Address& address : this->candidates) {
     if (!probe && !this->peers.contains(address)) {
@@ -118,6 +119,7 @@
   }
   this->gateway.book.SetPeerLoad(message.name, message.loads);
   this->gateway.book.NotePeerSuspects(message.suspects, net::Now());
+  this->gateway.book.Failures().SetPeerReport(message.name, message.failures);
   this->peers[sender] = {std::move(message), net::Now()};
   this->gateway.admission.Dispatch();
 }
@@ -131,6 +133,7 @@
     }
     net::LogLine("peer_lost").With("peer", peer.last.name).With("start", peer.last.incarnation);
     this->gateway.book.SetPeerLoad(peer.last.name, {});
+    this->gateway.book.Failures().RemovePeer(peer.last.name);
     return true;
   });
 }
--- a/src/peers/internal/peer_message.cc
+++ b/src/peers/internal/peer_message.cc
@@ -8,7 +8,28 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kFields = 9;
+constexpr std::size_t kFields = 12;
+
+json EncodeCounts(const std::vector<gateway::CountedKey>& counts) {
+  json fields = json::array();
+  for (const gateway::CountedKey& count : counts) {
+    fields.push_back(count.key);
+    fields.push_back(count.tenths);
+  }
+  return fields;
+}
+
+/// Reads pairs of key and count. @return false when one is missing.
+bool DecodeCounts(const json& fields, std::vector<gateway::CountedKey>& counts) {
+  counts.clear();
+  if (!fields.is_array() || fields.size() % 2 != 0) {
+    return false;
+  }
+  for (std::size_t index = 0; index < fields.size(); index += 2) {
+    counts.push_back({fields[index].get<std::uint32_t>(), fields[index + 1].get<int>()});
+  }
+  return true;
+}
 
 }  // namespace
 
@@ -19,9 +40,18 @@
     loads.push_back(load.online);
     loads.push_back(load.batch);
   }
-  const json fields = {message.name,           message.incarnation,       message.sequence,
-                       message.config_version, message.endpoints_version, message.is_leaving,
-                       std::move(loads),       message.store_served,      message.suspects};
+  const json fields = {message.name,
+                       message.incarnation,
+                       message.sequence,
+                       message.config_version,
+                       message.endpoints_version,
+                       message.is_leaving,
+                       std::move(loads),
+                       message.store_served,
+                       message.suspects,
+                       message.failures.zone,
+                       EncodeCounts(message.failures.attempts),
+                       EncodeCounts(message.failures.failures)};
   const std::vector<std::uint8_t> bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
 }
@@ -41,6 +71,11 @@
     fields[5].get_to(message.is_leaving);
     fields[7].get_to(message.store_served);
     fields[8].get_to(message.suspects);
+    fields[9].get_to(message.failures.zone);
+    if (!DecodeCounts(fields[10], message.failures.attempts) ||
+        !DecodeCounts(fields[11], message.failures.failures)) {
+      return false;
+    }
     message.loads.clear();
     for (std::size_t index = 0; index < fields[6].size(); index += 3) {
       message.loads.push_back({fields[6][index].get<std::uint32_t>(),
--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -6,8 +6,16 @@
 namespace {
 
 TEST_CASE("a message is read as it was written") {
-  const PeerMessage message{
-      "node", "node#1", 7, 12, 530, true, true, {41}, {{99, 2, 1}, {100, 0, 3}}};
+  const PeerMessage message{"node",
+                            "node#1",
+                            7,
+                            12,
+                            530,
+                            true,
+                            true,
+                            {41},
+                            {{99, 2, 1}, {100, 0, 3}},
+                            {"zone", {{5, 123}}, {{99, 41}}}};
   PeerMessage read;
   REQUIRE(Decode(Encode(message), read));
   CHECK(read.incarnation == "node#1");
@@ -17,10 +25,14 @@
   CHECK(read.suspects == std::vector<std::uint32_t>{41});
   REQUIRE(read.loads.size() == 2);
   CHECK(read.loads[1].batch == 3);
+  CHECK(read.failures.zone == "zone");
+  CHECK(read.failures.attempts.at(0).tenths == 123);
+  CHECK(read.failures.failures.at(0).key == 99);
 }
 
 TEST_CASE("a datagram that is cut or of another kind is no message") {
-  const std::string bytes = Encode({"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}});
+  const std::string bytes =
+      Encode({"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}});
   PeerMessage read;
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     CHECK_FALSE(Decode(bytes.substr(0, size), read));
--- a/src/peers/types/peer_message.h
+++ b/src/peers/types/peer_message.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gateway/types/endpoint_load.h"
+#include "gateway/types/failure_report.h"
 
 namespace lentilhead::peers {
 
@@ -19,6 +20,7 @@
   bool store_served = false;            ///< the store serves this node
   std::vector<std::uint32_t> suspects;  ///< keys of endpoints that it found out of reach
   std::vector<gateway::EndpointLoad> loads;
+  gateway::FailureReport failures;
 };
 
 /// Encodes a message for a datagram.
