--- a/src/gateway/tests/failure_judge_test.cc
+++ b/src/gateway/tests/failure_judge_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "gateway/endpoint_book.h"
 
 namespace lentilhead::gateway {
@@ -30,17 +32,18 @@
   }
 
   /// Plays two seconds with 60 requests a second at each node, at all endpoints alike.
-  /// @param fails tells whether the n-th request of a node at an endpoint fails.
+  /// @param fails tells whether a request of a node at an endpoint fails; its last argument is a
+  ///   number from 0 to 99 drawn for the request.
   template <class Fails>
   void Play(Fails fails) {
-    int number = 0;
+    std::mt19937 random(7);
     for (milliseconds time{0}; time < milliseconds(2000); time += milliseconds(100)) {
       for (int node = 0; node < kNodes; ++node) {
-        for (int request = 0; request < 6; ++request, ++number) {
-          const int endpoint = (number * 7 + node) % kEndpoints;
+        for (int request = 0; request < 6; ++request) {
+          const int endpoint = static_cast<int>(random() % kEndpoints);
           EndpointState& state = *this->books[node]->All().at("e" + std::to_string(endpoint));
           EndpointEvidence::NoteAttempt(state, kStart + time);
-          if (fails(node, endpoint, number)) {
+          if (fails(node, endpoint, static_cast<int>(random() % 100))) {
             EndpointEvidence::NoteUnsound(state, kStart + time);
           }
         }
@@ -76,7 +79,7 @@
 
 TEST_CASE("an endpoint that fails four in ten requests is doubted by every node") {
   Cluster cluster;
-  cluster.Play([](int, int endpoint, int number) { return endpoint == 3 && number % 5 < 2; });
+  cluster.Play([](int, int endpoint, int draw) { return endpoint == 3 && draw < 40; });
   for (int node = 0; node < kNodes; ++node) {
     CHECK(cluster.Doubted(node) == std::vector<std::string>{"e3"});
   }
@@ -84,7 +87,7 @@
 
 TEST_CASE("failures that come everywhere alike make no endpoint doubtful") {
   Cluster cluster;
-  cluster.Play([](int, int, int number) { return number % 19 == 0; });
+  cluster.Play([](int, int, int draw) { return draw < 5; });
   CHECK(cluster.Doubted(0).empty());
 }
 
