Tell a failed download of weights from one that goes on

The known red standin_weights waited for ever when a download failed. Cause of the hang found: the call ends as connection_lost before its first byte, and the test knew only whole downloads as an end.

--- a/standin/platform/tests/weights/weight_store_test.cc
+++ b/standin/platform/tests/weights/weight_store_test.cc
@@ -11,12 +11,18 @@
 struct Client {
   std::size_t received = 0;
   bool ended = false;
+  std::string failure;  ///< empty unless the download failed
   framework::HttpCall call;
 
   void Start(PlatformFixture& fixture) {
     framework::HttpStreamHandlers handlers;
     handlers.on_data = [this](std::string_view data) { this->received += data.size(); };
-    handlers.on_end = [this](const auto& failure) { this->ended = !failure; };
+    handlers.on_end = [this](const auto& failure) {
+      this->ended = true;
+      if (failure) {
+        this->failure = std::string(framework::NameOf(failure->kind)) + ": " + failure->detail;
+      }
+    };
     this->call =
         fixture.http.Stream({.url = fixture.server.WeightUrl() + "/m/1"}, std::move(handlers));
   }
@@ -33,6 +39,8 @@
   REQUIRE(PlatformFixture::RunUntil([&] { return first.received > kSize / 2; }));
   CHECK(second.received > kSize / 10);
   REQUIRE(PlatformFixture::RunUntil([&] { return first.ended && second.ended; }));
+  CHECK(first.failure == "");
+  CHECK(second.failure == "");
   CHECK(first.received == kSize);
   CHECK(second.received == kSize);
 }
@@ -46,6 +54,7 @@
   REQUIRE(PlatformFixture::RunUntil([&] { return first.received > 0; }));
   first.call.Cancel();
   REQUIRE(PlatformFixture::RunUntil([&] { return second.ended; }));
+  CHECK(second.failure == "");
   CHECK(second.received == kSize);
 }
 
