Count in the sheet race what an outage refused

The stand-in now counts the table calls that an outage ended, and the race expects one or more for each outage.

--- a/src/sheet/tests/sheet_race_test.cc
+++ b/src/sheet/tests/sheet_race_test.cc
@@ -152,7 +152,7 @@
   PlatformFixture fixture;
   std::mt19937_64 random(11);
   framework::TimerSubscription heal;
-  int outages = 0;
+  std::uint64_t outages = 0;
   const Record record = Race(fixture, [&](int) {
     if (random() % 4 == 0) {
       fixture.server.SetFault(FaultTarget::kTable,
@@ -170,6 +170,7 @@
   });
   CHECK(record.ends.at("conflict") > 0);
   CHECK(outages > 5);
+  CHECK(fixture.server.Stats().at("table calls in an outage") >= outages);
   CHECK(fixture.server.Stats().at("table answers lost") > kChanges / 10);
 }
 
--- a/standin/platform/platform_server.cc
+++ b/standin/platform/platform_server.cc
@@ -91,6 +91,7 @@
 void PlatformServer::Serve(Service& service, bool is_write, const Exchange& exchange,
                            Effect effect) {
   if (service.fault.down) {
+    this->stats[std::string(service.name) + " calls in an outage"] += 1;
     this->Later(std::chrono::milliseconds(0), [exchange] { exchange->Abort(); });
     return;
   }
