--- a/src/gateway/tests/placement_test.cc
+++ b/src/gateway/tests/placement_test.cc
@@ -10,6 +10,7 @@
 
 constexpr std::size_t kEndpoints = 70;
 constexpr double kPlaces = 7;
+constexpr int kUnheard = 150;  // 700 requests a second, heard of after some 210 ms
 
 double Draw(std::mt19937& random) { return static_cast<double>(random() % 100000) / 100000; }
 
@@ -25,6 +26,7 @@
       known = truth;
     }
     std::vector<PlacementCandidate> candidates;
+    candidates.reserve(known.size());
     for (const int load : known) {
       candidates.push_back({load / kPlaces, kPlaces});
     }
@@ -54,7 +56,6 @@
 }
 
 TEST_CASE("a burst over many nodes builds no queue at one endpoint while others have room") {
-  constexpr int kUnheard = 150;  // 700 requests a second, heard of after some 210 ms
   const int herd = PlayBurst(kUnheard, 0);
   const int spread = PlayBurst(kUnheard, kUnheard);
   CHECK(herd > 2 * kPlaces);
