Count calls of the table and of the object store in one place

Both clients had the same code for counting a call, telling its failure and counting that. It is PlatformCalls::SendCounted now.

--- a/src/datastore/internal/object_store_client.cc
+++ b/src/datastore/internal/object_store_client.cc
@@ -13,12 +13,6 @@
 using framework::Reply;
 using internal::CallKind;
 
-namespace {
-
-constexpr int kFirstErrorStatus = 300;
-
-}  // namespace
-
 class ObjectStoreClient::State : public internal::PlatformCalls {
  public:
   State(const PlatformSettings& settings, framework::HttpClient& http, framework::Metrics& metrics)
@@ -38,21 +32,11 @@
 void ObjectStoreClient::State::SendFor(
     const char* operation, CallKind kind, HttpRequest request,
     std::function<void(Reply<HttpResponse, ObjectError>)> handler) {
-  this->metrics.GetCounter("platform_requests_total", {{"operation", operation}}).Add();
-  auto on_reply = [this, kind, operation, handler = std::move(handler)](auto reply) {
-    if (reply && reply.Value().head.status < kFirstErrorStatus) {
-      handler(std::move(reply.Value()));
-      return;
-    }
-    ObjectError error = reply ? internal::ObjectErrorOf(reply.Value(), kind)
-                              : internal::ObjectErrorOf(reply.Error(), kind);
-    this->metrics
-        .GetCounter("platform_errors_total",
-                    {{"operation", operation}, {"reason", NameOf(error.kind)}})
-        .Add();
-    handler(std::move(error));
+  const auto error_of = [kind](const auto& failure) {
+    return internal::ObjectErrorOf(failure, kind);
   };
-  this->Send(std::move(request), std::move(on_reply));
+  this->SendCounted<ObjectError>(this->metrics, operation, std::move(request), error_of,
+                                 std::move(handler));
 }
 
 ObjectStoreClient::ObjectStoreClient(const PlatformSettings& settings, framework::HttpClient& http,
--- a/src/datastore/internal/table_client.cc
+++ b/src/datastore/internal/table_client.cc
@@ -20,7 +20,6 @@
 
 namespace {
 
-constexpr int kFirstErrorStatus = 300;
 constexpr const char* kEtagProperty = "odata.etag";
 
 /// Quotes a string as OData does.
@@ -89,21 +88,11 @@
                                  std::function<void(Reply<HttpResponse, TableError>)> handler) {
   request.headers.emplace_back("Accept", "application/json;odata=fullmetadata");
   request.headers.emplace_back("x-ms-version", "2019-02-02");
-  this->metrics.GetCounter("platform_requests_total", {{"operation", operation}}).Add();
-  auto on_reply = [this, kind, operation, handler = std::move(handler)](auto reply) {
-    if (reply && reply.Value().head.status < kFirstErrorStatus) {
-      handler(std::move(reply.Value()));
-      return;
-    }
-    TableError error = reply ? internal::TableErrorOf(reply.Value(), kind)
-                             : internal::TableErrorOf(reply.Error(), kind);
-    this->metrics
-        .GetCounter("platform_errors_total",
-                    {{"operation", operation}, {"reason", NameOf(error.kind)}})
-        .Add();
-    handler(std::move(error));
+  const auto error_of = [kind](const auto& failure) {
+    return internal::TableErrorOf(failure, kind);
   };
-  this->Send(std::move(request), std::move(on_reply));
+  this->SendCounted<TableError>(this->metrics, operation, std::move(request), error_of,
+                                std::move(handler));
 }
 
 namespace {
