Remove twins and dead parts of the node found on rereading

Four retry loops of the row store are one Backoff; three ways to draw a number, two of the time of day, two of a start's node, two of committing a claim and three of building a response are one each. Services of the configuration and a count of connections were read by nothing. The settings file is read once at start, so a change between two reads is no longer taken for known. HandOver awaited nothing. An item's service is drawn by the generator in place of the clock's last digits.

--- a/src/apps/node/main.cc
+++ b/src/apps/node/main.cc
@@ -35,7 +35,7 @@
     return 0;
   }
   lentilhead::node::NodeProgram program(std::move(options),
-                                        std::move(std::get<NodeSettings>(settings)));
+                                        std::move(std::get<NodeSettings>(settings)), text.str());
   return program.Run();
 }
 
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -55,7 +55,7 @@
 
 }  // namespace
 
-NodeProgram::NodeProgram(Options options, gateway::NodeSettings settings)
+NodeProgram::NodeProgram(Options options, gateway::NodeSettings settings, std::string settings_text)
     : options(std::move(options)),
       settings(std::move(settings)),
       executor(this->context.get_executor()),
@@ -95,7 +95,8 @@
               [this](net::Request request, const net::tcp::endpoint&) {
                 return this->AnswerMetrics(std::move(request));
               }),
-      signals(this->executor, SIGTERM, SIGINT, SIGHUP) {}
+      signals(this->executor, SIGTERM, SIGINT, SIGHUP),
+      settings_text(std::move(settings_text)) {}
 
 void NodeProgram::Spawn(awaitable<void> task) {
   net::asio::co_spawn(this->executor, std::move(task), net::asio::detached);
@@ -160,7 +161,6 @@
       .With("start", this->peers.Incarnation())
       .With("zone", this->settings.zone)
       .With("version", LENTILHEAD_VERSION);
-  this->settings_text = ReadFile(this->options.settings_path);
   if (!this->OpenListeners()) {
     net::LogSink::OfProcess().Flush();
     return 1;
@@ -271,7 +271,7 @@
       .With("at_work", this->gate.RequestsAtWork())
       .With("sessions", this->gate.OpenSessions())
       .With("jobs", this->job_service.OwnedCount());
-  this->Spawn(this->job_service.HandOver());
+  this->job_service.HandOver();
   const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
   net::asio::steady_timer timer(this->executor);
   while (net::Now() < end) {
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -22,7 +22,8 @@
 /// One node: callers' listener, readiness, peers, batch jobs and metrics on one event loop.
 class NodeProgram {
  public:
-  NodeProgram(Options options, gateway::NodeSettings settings);
+  /// @param settings_text text that the settings were read from, to tell when it changes.
+  NodeProgram(Options options, gateway::NodeSettings settings, std::string settings_text);
 
   /// Runs until the node has left. @return exit code of the process.
   int Run();
--- a/src/gateway/internal/caller_gate.cc
+++ b/src/gateway/internal/caller_gate.cc
@@ -22,8 +22,6 @@
 constexpr milliseconds kWriteLimit{2000};
 constexpr milliseconds kAcceptPause{20};  // after a failure to accept, such as no free descriptor
 
-double Draw() { return static_cast<double>(net::RandomBelow(1000)) / 1000.0; }
-
 net::SteadyTime DeadlineOf(const InferenceRequest& request, const Route& route,
                            net::SteadyTime arrival) {
   milliseconds span = request.deadline.value_or(kUnstatedDeadline);
@@ -156,7 +154,7 @@
     co_await session.Send(std::move(response), net::Now() + kWriteLimit);
     co_return;
   }
-  facts.service = RouteTable::PickService(*facts.route, Draw());
+  facts.service = RouteTable::PickService(*facts.route, net::RandomShare());
   facts.deadline = DeadlineOf(request, *facts.route, facts.arrival);
   facts.request = std::move(request);
   internal::OnlineRun run(this->gateway, session, cancel, std::move(facts));
--- a/src/gateway/internal/endpoint_book.cc
+++ b/src/gateway/internal/endpoint_book.cc
@@ -23,8 +23,7 @@
 constexpr double kLargestSlowness = 8;        // bounds how far a slow endpoint is avoided
 constexpr double kSlownessFloor = 1.5;        // below, differences of pace are left to chance
 constexpr milliseconds kPeerSuspicion{500};   // reports are repeated while they hold
-constexpr std::uint32_t kDrawSteps = 1 << 20;
-constexpr double kZoneAdvantage = 0.02;  // breaks ties towards the own zone
+constexpr double kZoneAdvantage = 0.02;       // breaks ties towards the own zone
 
 bool IsUsable(const EndpointState& state, net::SteadyTime now) {
   return !state.entry.is_draining && (state.listed || now < state.usable_until);
@@ -189,10 +188,9 @@
   if (usable.empty() || (best_trust == Trust::kOutOfReach && any_in_reach)) {
     return {nullptr, reason};
   }
-  const double draw = static_cast<double>(net::RandomBelow(kDrawSteps)) / kDrawSteps;
   const double unseen = this->failures.PeerRate(request.service) *
                         std::chrono::duration<double>(this->information_age).count();
-  return {usable[Placement::Choose(candidates, unseen, draw)], NoChoice::kNone};
+  return {usable[Placement::Choose(candidates, unseen, net::RandomShare())], NoChoice::kNone};
 }
 
 void EndpointBook::AddPeerLoad(const PeerLoads& loads, int sign) {
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -12,12 +12,9 @@
 struct EndpointConnection {
   EndpointConnection(const net::asio::any_io_executor& executor,
                      std::shared_ptr<EndpointState> endpoint)
-      : stream(executor), endpoint(std::move(endpoint)) {
-    ++this->endpoint->connections;
-  }
+      : stream(executor), endpoint(std::move(endpoint)) {}
   EndpointConnection(const EndpointConnection&) = delete;
   EndpointConnection& operator=(const EndpointConnection&) = delete;
-  ~EndpointConnection() { --this->endpoint->connections; }
 
   net::beast::tcp_stream stream;
   net::beast::flat_buffer buffer;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -17,9 +17,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSafeIdle{200};  // a connection idle for less is not about to be closed
-constexpr double kDrawSteps = 1000;
-
-double Draw() { return static_cast<double>(net::RandomBelow(1000)) / kDrawSteps; }
 
 }  // namespace
 
@@ -74,7 +71,7 @@
     co_await this->Fail(status::bad_gateway, reason);
     co_return;
   }
-  const milliseconds wait = RefusalPolicy::RetryAfter(Draw());
+  const milliseconds wait = RefusalPolicy::RetryAfter(net::RandomShare());
   this->Count("refused", reason);
   net::LogLine("request_refused")
       .With("request", this->facts.request.id)
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -30,8 +30,7 @@
   std::optional<ReportedLoad> reported;
   int own_at_report = 0;
   net::SteadyTime reported_at;
-  double pace_ms = 0;   ///< smoothed time of a unit of work; 0 until one was seen
-  int connections = 0;  ///< open connections of this node
+  double pace_ms = 0;  ///< smoothed time of a unit of work; 0 until one was seen
   std::chrono::milliseconds stale_after{0};  ///< shortest pause after which one was given up
   net::SteadyTime stale_until;               ///< that is believed until then
 
--- a/src/gateway/types/serving_config.h
+++ b/src/gateway/types/serving_config.h
@@ -5,7 +5,6 @@
 
 #include "gateway/types/caller_limits.h"
 #include "gateway/types/route.h"
-#include "gateway/types/service.h"
 
 namespace lentilhead::gateway {
 
@@ -13,7 +12,6 @@
 struct ServingConfig {
   std::int64_t version = 0;
   std::vector<Route> routes;
-  std::vector<Service> services;
   CallerLimits limits;
 };
 
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -5,6 +5,7 @@
 #include "gateway/internal/event_cutter.h"
 #include "jobs/job_service.h"
 #include "net/log_line.h"
+#include "net/retry_pause.h"
 #include "platform/job_codec.h"
 #include "platform/request_codec.h"
 
@@ -201,9 +202,8 @@
   if (!exists) {
     return false;
   }
-  const double draw = static_cast<double>(net::Now().time_since_epoch().count() % 997) / 997;
   gateway::ChoiceRequest choice{
-      gateway::RouteTable::PickService(*route, draw), {}, gateway::WorkClass::kBatch};
+      gateway::RouteTable::PickService(*route, net::RandomShare()), {}, gateway::WorkClass::kBatch};
   gateway::AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
   if (!admitted.lease) {
     return false;
--- a/src/jobs/internal/job_api.cc
+++ b/src/jobs/internal/job_api.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/internal/answers.h"
+#include "jobs/internal/unix_time.h"
 #include "net/log_line.h"
 #include "platform/job_codec.h"
 
@@ -27,23 +28,21 @@
          });
 }
 
-std::int64_t UnixNow() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 net::Response Unavailable() { return gateway::MakeRefusal("store_unavailable", kReturnAfter); }
 
 net::Response NoJob() { return gateway::MakeFailure(status::not_found, "no_such_job"); }
 
-net::Response Json(std::string body) {
-  net::Response response(status::ok, 11);
-  response.set(net::http::field::content_type, "application/json");
+net::Response Content(status code, const char* type, std::string body) {
+  net::Response response(code, 11);
+  response.set(net::http::field::content_type, type);
   response.body() = std::move(body);
   return response;
 }
 
+net::Response Json(status code, std::string body) {
+  return Content(code, "application/json", std::move(body));
+}
+
 }  // namespace
 
 JobApi::JobApi(gateway::Gateway& gateway, JobStore& store, JobService& service, std::string owner)
@@ -89,7 +88,7 @@
   claim.owner = this->gateway.stopping ? "" : this->owner;
   claim.host = request.host;
   claim.total = spec.items.size();
-  claim.accepted_unix_ms = UnixNow();
+  claim.accepted_unix_ms = internal::UnixNow();
   claim.results_due_ms = facts.route->results_due.count();
   claim.give_up_after_ms = facts.route->give_up_after.count();
   claim.max_attempts = facts.route->max_attempts;
@@ -119,10 +118,7 @@
   if (created.is_new && !accepted.owner.empty()) {
     this->service.Begin(accepted, std::move(spec));
   }
-  net::Response response(status::accepted, 11);
-  response.set(net::http::field::content_type, "application/json");
-  response.body() = "{}";
-  co_return response;
+  co_return Json(status::accepted, "{}");
 }
 
 awaitable<ClaimOutcome> JobApi::FindClaim(std::string job, net::SteadyTime deadline) {
@@ -154,7 +150,8 @@
     co_return Unavailable();
   }
   const std::uint64_t total = std::get<Claim>(claim).total;
-  co_return Json(platform::EncodeResultPage(total, call.after + results->size(), *results));
+  co_return Json(status::ok,
+                 platform::EncodeResultPage(total, call.after + results->size(), *results));
 }
 
 awaitable<net::Response> JobApi::ReadItem(ReadItemCall call) {
@@ -176,10 +173,7 @@
   if (item == spec->items.end()) {
     co_return gateway::MakeFailure(status::not_found, "no_such_item");
   }
-  net::Response response(status::ok, 11);
-  response.set(net::http::field::content_type, "application/octet-stream");
-  response.body() = item->body;
-  co_return response;
+  co_return Content(status::ok, "application/octet-stream", item->body);
 }
 
 awaitable<net::Response> JobApi::End(EndJobCall call) {
@@ -204,7 +198,7 @@
     if (present != nullptr && present->state != JobState::kOpen) {
       this->service.NoteClaim(*present);
       net::LogLine("job_ended").With("job", call.job).With("claim", present->version);
-      co_return Json("{}");
+      co_return Json(status::ok, "{}");
     }
     if (present == nullptr || net::Now() >= deadline) {
       co_return gateway::MakeFailure(status::gateway_timeout, "store_unknown");
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "jobs/internal/job_rows.h"
+#include "jobs/internal/unix_time.h"
 #include "net/log_line.h"
 
 namespace lentilhead::jobs {
@@ -20,12 +21,6 @@
 constexpr int kRetentionFactor = 3;         // kept well past what callers were promised
 constexpr int kStartsPerTick = 2;           // peers see the starts before the next ones
 
-std::int64_t UnixNow() {
-  return std::chrono::duration_cast<milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 JobService::JobService(gateway::Gateway& gateway, JobStore& store, peers::PeerExchange& peers,
@@ -189,8 +184,9 @@
 
 void JobService::GiveUpLateItems(const Job& job) {
   const Claim& claim = job->claim;
-  if (claim.give_up_after_ms <= 0 ||
-      UnixNow() < claim.accepted_unix_ms + claim.give_up_after_ms + kClockMargin.count()) {
+  if (claim.give_up_after_ms <= 0 || internal::UnixNow() < claim.accepted_unix_ms +
+                                                               claim.give_up_after_ms +
+                                                               kClockMargin.count()) {
     return;
   }
   const auto runs = job->runs;
@@ -236,8 +232,8 @@
   this->last_collection = now;
   const std::vector<std::string> alive = this->peers.Alive();
   for (const auto& [id, entry] : this->directory.Entries()) {
-    const bool is_old =
-        UnixNow() - entry.claim.accepted_unix_ms > kRetentionFactor * this->retention.count();
+    const bool is_old = internal::UnixNow() - entry.claim.accepted_unix_ms >
+                        kRetentionFactor * this->retention.count();
     const bool is_first = TakeoverPolicy::Delay(id, alive, this->peers.Incarnation()) ==
                           TakeoverPolicy::Delay(id, {}, this->peers.Incarnation());
     if (entry.claim.state != JobState::kOpen && is_old && is_first) {
--- a/src/jobs/internal/job_store.cc
+++ b/src/jobs/internal/job_store.cc
@@ -41,18 +41,20 @@
   co_return std::move(*claim);
 }
 
-awaitable<ClaimOutcome> JobStore::CommitWithClaim(rowstore::Transaction transaction, Claim intended,
-                                                  net::SteadyTime deadline) {
+awaitable<CreateOutcome> JobStore::CommitWithClaim(rowstore::Transaction transaction,
+                                                   Claim intended, net::SteadyTime deadline) {
+  transaction.written.push_back(
+      {internal::ClaimKey(intended.job), internal::EncodeClaim(intended)});
   rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
   if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
     intended.version = committed->version;
-    co_return intended;
+    co_return CreateOutcome{std::move(intended), true};
   }
   if (const auto* error = std::get_if<StoreError>(&outcome)) {
-    co_return *error;
+    co_return CreateOutcome{*error, false};
   }
   ClaimOutcome present = co_await this->ReadClaim(intended.job, deadline);
-  co_return present;
+  co_return CreateOutcome{std::move(present), false};
 }
 
 awaitable<CreateOutcome> JobStore::Create(Claim claim, std::string submission,
@@ -71,17 +73,7 @@
   }
   transaction.expected.push_back({internal::ClaimKey(claim.job), 0});
   transaction.written = std::move(rows);
-  transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
-  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
-  if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
-    claim.version = committed->version;
-    co_return CreateOutcome{claim, true};
-  }
-  if (const auto* error = std::get_if<StoreError>(&outcome)) {
-    co_return CreateOutcome{*error, false};
-  }
-  ClaimOutcome present = co_await this->ReadClaim(claim.job, deadline);
-  co_return CreateOutcome{std::move(present), false};
+  co_return co_await this->CommitWithClaim(std::move(transaction), std::move(claim), deadline);
 }
 
 awaitable<ClaimOutcome> JobStore::Replace(Claim claim, std::vector<rowstore::WrittenRow> progress,
@@ -89,8 +81,9 @@
   rowstore::Transaction transaction;
   transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
   transaction.written = std::move(progress);
-  transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
-  co_return co_await this->CommitWithClaim(std::move(transaction), claim, deadline);
+  CreateOutcome outcome =
+      co_await this->CommitWithClaim(std::move(transaction), std::move(claim), deadline);
+  co_return std::move(outcome.claim);
 }
 
 awaitable<ClaimOutcome> JobStore::Append(Claim claim, std::uint64_t position,
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -125,12 +125,11 @@
   this->Drop(job, "handed_over");
 }
 
-awaitable<void> JobService::HandOver() {
+void JobService::HandOver() {
   const std::map<std::string, Job> jobs = this->owned;
   for (const auto& [id, job] : jobs) {
     net::asio::co_spawn(this->gateway.executor, this->HandOverJob(job), net::asio::detached);
   }
-  co_return;
 }
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -44,8 +44,8 @@
   /// Ends batch work at endpoints where online work waits.
   void YieldToOnline();
 
-  /// Hands every job back, with how far its items have come.
-  net::asio::awaitable<void> HandOver();
+  /// Starts to hand every job back, with how far its items have come.
+  void HandOver();
 
   /// Number of jobs that this node owns.
   [[nodiscard]] std::size_t OwnedCount() const { return this->owned.size(); }
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -75,8 +75,9 @@
   net::asio::awaitable<void> Remove(Claim claim, net::SteadyTime deadline);
 
  private:
-  net::asio::awaitable<ClaimOutcome> CommitWithClaim(rowstore::Transaction transaction,
-                                                     Claim intended, net::SteadyTime deadline);
+  /// Applies a transaction that writes a claim besides, and reads the claim that won on a conflict.
+  net::asio::awaitable<CreateOutcome> CommitWithClaim(rowstore::Transaction transaction,
+                                                      Claim intended, net::SteadyTime deadline);
 
   rowstore::RowStore& store;
   std::size_t row_bytes;
--- a/src/net/retry_pause.cc
+++ b/src/net/retry_pause.cc
@@ -1,5 +1,6 @@
 #include "net/retry_pause.h"
 
+#include <algorithm>
 #include <random>
 
 namespace lentilhead::net {
@@ -17,6 +18,18 @@
   return bound == 0 ? 0 : std::uniform_int_distribution<std::size_t>(0, bound - 1)(Generator());
 }
 
+double RandomShare() { return std::uniform_real_distribution<double>(0, 1)(Generator()); }
+
+asio::awaitable<bool> Backoff::Wait() {
+  if (Now() + this->pause >= this->deadline) {
+    co_return false;
+  }
+  asio::steady_timer timer(this->executor, Jittered(this->pause));
+  co_await timer.async_wait(kAwaitWithError);
+  this->pause = std::min(this->pause * 2, this->longest);
+  co_return true;
+}
+
 std::chrono::milliseconds Jittered(std::chrono::milliseconds span) {
   const auto half = static_cast<std::size_t>(span.count() / 2);
   return span - std::chrono::milliseconds(RandomBelow(half + 1));
--- a/src/net/retry_pause.h
+++ b/src/net/retry_pause.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 
+#include "net/http_types.h"
+
 namespace lentilhead::net {
 
 /// Returns a random span between half of the given one and the whole of it.
@@ -10,4 +12,26 @@
 /// Returns a random number from 0 up to, but not including, the bound; 0 for a bound of 0.
 [[nodiscard]] std::size_t RandomBelow(std::size_t bound);
 
+/// Returns a random number from 0 up to, but not including, 1.
+[[nodiscard]] double RandomShare();
+
+/// Pauses between the tries of one call: each twice the one before, with jitter, until a deadline.
+class Backoff {
+ public:
+  /// @param deadline time by which the last try begins.
+  /// @param first first pause. @param longest bound of the pauses.
+  Backoff(asio::any_io_executor executor, SteadyTime deadline, std::chrono::milliseconds first,
+          std::chrono::milliseconds longest)
+      : executor(std::move(executor)), deadline(deadline), pause(first), longest(longest) {}
+
+  /// Waits for the next try. @return false at once when it would begin too late.
+  asio::awaitable<bool> Wait();
+
+ private:
+  asio::any_io_executor executor;
+  SteadyTime deadline;
+  std::chrono::milliseconds pause;
+  std::chrono::milliseconds longest;
+};
+
 }  // namespace lentilhead::net
--- a/src/peers/internal/node_presence.cc
+++ b/src/peers/internal/node_presence.cc
@@ -14,11 +14,6 @@
 constexpr milliseconds kPresenceLifetime{4200};  // two periods and the pause of the feed
 constexpr milliseconds kWriteLimit{1000};
 
-/// Name of the node of a start, which is written NODE#START.
-std::string NodeOf(const std::string& incarnation) {
-  return incarnation.substr(0, incarnation.rfind('#'));
-}
-
 }  // namespace
 
 NodePresence::NodePresence(gateway::Gateway& gateway, rowstore::RowStore& store,
@@ -65,7 +60,7 @@
   if (this->exchange.IsAlive(incarnation)) {
     return true;
   }
-  const std::string node = NodeOf(incarnation);
+  const std::string node = PeerExchange::NodeOf(incarnation);
   if (node == this->exchange.Name() || this->exchange.HasNewerStart(incarnation)) {
     return false;
   }
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -177,8 +177,12 @@
                      [&](const auto& item) { return item.second.last.incarnation == incarnation; });
 }
 
+std::string PeerExchange::NodeOf(const std::string& incarnation) {
+  return incarnation.substr(0, incarnation.rfind('#'));
+}
+
 bool PeerExchange::HasNewerStart(const std::string& incarnation) const {
-  const std::string node = incarnation.substr(0, incarnation.rfind('#'));
+  const std::string node = NodeOf(incarnation);
   return std::any_of(this->peers.begin(), this->peers.end(), [&](const auto& item) {
     return item.second.last.name == node && item.second.last.incarnation != incarnation;
   });
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -40,6 +40,9 @@
   /// Whether a start of a node was heard of lately, or is this one.
   [[nodiscard]] bool IsAlive(const std::string& incarnation) const;
 
+  /// Name of the node of a start, which is written NODE#START.
+  [[nodiscard]] static std::string NodeOf(const std::string& incarnation);
+
   /// Whether a later start of the same node is heard.
   [[nodiscard]] bool HasNewerStart(const std::string& incarnation) const;
 
--- a/src/rowstore/row_store.cc
+++ b/src/rowstore/row_store.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "net/retry_pause.h"
 #include "platform/store_codec.h"
 
 namespace lentilhead::rowstore {
@@ -91,16 +90,32 @@
       not_sent ? net::http::status::service_unavailable : net::http::status::gateway_timeout, 11);
 }
 
-awaitable<void> RowStore::Pause(milliseconds span) {
-  net::asio::steady_timer timer(this->executor, net::Jittered(span));
-  co_await timer.async_wait(net::kAwaitWithError);
+net::Backoff RowStore::MakeBackoff(net::SteadyTime deadline) const {
+  return {this->executor, deadline, kFirstPause, kLongestPause};
+}
+
+awaitable<std::optional<net::Response>> RowStore::CallUntil(
+    net::Request request, std::function<bool(const net::Response&)> is_done,
+    net::SteadyTime deadline) {
+  net::Backoff backoff = this->MakeBackoff(deadline);
+  bool again = true;
+  while (again) {
+    net::HttpCaller::Outcome outcome = co_await this->Call(request, CallTimeout(deadline));
+    auto* response = std::get_if<net::Response>(&outcome);
+    if (response != nullptr && is_done(*response)) {
+      co_return std::move(*response);
+    }
+    again = co_await backoff.Wait();
+  }
+  co_return std::nullopt;
 }
 
 awaitable<CommitOutcome> RowStore::Commit(Transaction transaction, net::SteadyTime deadline) {
   const net::Request request = platform::EncodeCommit(transaction);
   bool maybe_applied = false;
-  milliseconds pause = kFirstPause;
-  while (true) {
+  net::Backoff backoff = this->MakeBackoff(deadline);
+  bool again = true;
+  while (again) {
     net::HttpCaller::Outcome outcome = co_await this->Call(request, CallTimeout(deadline));
     if (const auto* response = std::get_if<net::Response>(&outcome)) {
       CommitOutcome decoded = platform::DecodeCommit(*response);
@@ -113,18 +128,16 @@
       maybe_applied =
           maybe_applied || std::get<net::CallError>(outcome) != net::CallError::kNotSent;
     }
-    if (net::Now() + pause >= deadline) {
-      co_return maybe_applied ? StoreError::kUnknown : StoreError::kNothingDone;
-    }
-    co_await this->Pause(pause);
-    pause = std::min(pause * 2, kLongestPause);
+    again = co_await backoff.Wait();
   }
+  co_return maybe_applied ? StoreError::kUnknown : StoreError::kNothingDone;
 }
 
 awaitable<ReadOutcome> RowStore::ReadOnce(const RowRange& range, net::SteadyTime deadline) {
   const net::Request request = platform::EncodeRead(range);
-  milliseconds pause = kFirstPause;
-  while (true) {
+  net::Backoff backoff = this->MakeBackoff(deadline);
+  bool again = true;
+  while (again) {
     net::HttpCaller::Outcome outcome = co_await this->Call(request, CallTimeout(deadline));
     if (const auto* response = std::get_if<net::Response>(&outcome)) {
       ReadOutcome decoded = platform::DecodeRows(*response);
@@ -133,12 +146,9 @@
         co_return decoded;
       }
     }
-    if (net::Now() + pause >= deadline) {
-      co_return StoreError::kNothingDone;
-    }
-    co_await this->Pause(pause);
-    pause = std::min(pause * 2, kLongestPause);
+    again = co_await backoff.Wait();
   }
+  co_return StoreError::kNothingDone;
 }
 
 awaitable<ReadOutcome> RowStore::Read(RowRange range, net::SteadyTime deadline) {
@@ -169,38 +179,23 @@
 }
 
 awaitable<bool> RowStore::PutObject(std::string name, std::string bytes, net::SteadyTime deadline) {
-  const net::Request request = platform::EncodeObjectPut(name, std::move(bytes));
-  milliseconds pause = kFirstPause;
-  while (true) {
-    net::HttpCaller::Outcome outcome = co_await this->Call(request, CallTimeout(deadline));
-    const auto* response = std::get_if<net::Response>(&outcome);
-    if (response != nullptr && platform::IsObjectStored(*response)) {
-      co_return true;
-    }
-    if (net::Now() + pause >= deadline) {
-      co_return false;
-    }
-    co_await this->Pause(pause);
-    pause = std::min(pause * 2, kLongestPause);
-  }
+  net::Request request = platform::EncodeObjectPut(name, std::move(bytes));
+  const std::optional<net::Response> response =
+      co_await this->CallUntil(std::move(request), platform::IsObjectStored, deadline);
+  co_return response.has_value();
 }
 
 awaitable<std::optional<std::string>> RowStore::GetObject(std::string name,
                                                           net::SteadyTime deadline) {
-  const net::Request request = platform::EncodeObjectGet(name);
-  milliseconds pause = kFirstPause;
-  while (true) {
-    net::HttpCaller::Outcome outcome = co_await this->Call(request, CallTimeout(deadline));
-    auto* response = std::get_if<net::Response>(&outcome);
-    if (response != nullptr && response->result() == net::http::status::ok) {
-      co_return std::move(response->body());
-    }
-    if (net::Now() + pause >= deadline) {
-      co_return std::nullopt;
-    }
-    co_await this->Pause(pause);
-    pause = std::min(pause * 2, kLongestPause);
+  const auto is_read = [](const net::Response& response) {
+    return response.result() == net::http::status::ok;
+  };
+  std::optional<net::Response> response =
+      co_await this->CallUntil(platform::EncodeObjectGet(name), is_read, deadline);
+  if (!response) {
+    co_return std::nullopt;
   }
+  co_return std::move(response->body());
 }
 
 }  // namespace lentilhead::rowstore
--- a/src/rowstore/row_store.h
+++ b/src/rowstore/row_store.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <string>
-
 #include <functional>
 #include <optional>
+#include <string>
 
 #include "net/http_caller.h"
+#include "net/retry_pause.h"
 #include "rowstore/store_path.h"
 #include "rowstore/types/commit_outcome.h"
 #include "rowstore/types/read_result.h"
@@ -68,7 +68,11 @@
                                                       std::chrono::milliseconds timeout);
   net::asio::awaitable<net::HttpCaller::Outcome> CallDirect(net::Request request,
                                                             std::chrono::milliseconds timeout);
-  net::asio::awaitable<void> Pause(std::chrono::milliseconds span);
+  /// Calls again until an answer is the wanted one. @return nothing when none was in time.
+  net::asio::awaitable<std::optional<net::Response>> CallUntil(
+      net::Request request, std::function<bool(const net::Response&)> is_done,
+      net::SteadyTime deadline);
+  [[nodiscard]] net::Backoff MakeBackoff(net::SteadyTime deadline) const;
 
   net::asio::any_io_executor executor;
   net::HttpCaller caller;
