Hold the limit on waiting tokens over all nodes, and order batch items by what can be on time

Cause: the limit of a batch route ('cap') was read nowhere, so every job of a flood was accepted; and earliest due first alone started each item of a flood when it was almost due, so that nearly all were late.

Change: on a limited route a claim is written as submitted first; its version in the store is its place in the order of all submissions. It is opened if it fits after all that come before it, else withdrawn, by whichever node decides first (Submission, a state machine without clock or store). Results write the tokens that are left. Items that cannot be on time come after all others; the ones with the most time to spare yield first. Progress is marked saved after its write.

--- a/src/apps/node/node_followers.cc
+++ b/src/apps/node/node_followers.cc
@@ -58,8 +58,8 @@
           [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
             this->job_service.ReplaceClaims(rows, version);
           },
-          [this](const std::vector<rowstore::Row>& rows, rowstore::Version) {
-            this->job_service.ChangeClaims(rows);
+          [this](const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+            this->job_service.ChangeClaims(rows, version);
           }};
 }
 
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -215,6 +215,7 @@
   values.GetGauge("node_requests_at_work")
       .Set(static_cast<std::int64_t>(this->caller_server.RequestsInFlight()));
   values.GetGauge("node_jobs_owned").Set(static_cast<std::int64_t>(this->job_service.OwnedCount()));
+  this->job_service.UpdateGauges();
   values.GetGauge("node_peers_alive").Set(static_cast<std::int64_t>(this->peers.Alive().size()));
   values.GetGauge("node_store_served").Set(this->store.IsServingThisNode() ? 1 : 0);
   values.GetGauge("node_config_version").Set(this->gateway.routes.Version());
--- a/src/gateway/types/route.h
+++ b/src/gateway/types/route.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -38,6 +39,11 @@
   std::chrono::milliseconds results_due{0};  ///< batch: objective for all results
   /// Batch: time after acceptance when the remaining items are given up.
   std::chrono::milliseconds give_up_after{0};
+  /// Batch: limit on the tokens of accepted items that have not ended, over all nodes; 0 for none.
+  std::int64_t max_waiting_tokens = 0;
+
+  /// Names the route in stored rows: its host and path prefix.
+  [[nodiscard]] std::string Key() const { return this->host + this->path_prefix; }
 };
 
 }  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
-#include <limits>
 
 #include "gateway/internal/endpoint_attempt.h"
 #include "gateway/internal/event_splitter.h"
+#include "jobs/internal/unix_time.h"
 #include "jobs/job_service.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
@@ -182,20 +182,40 @@
   }
 }
 
+ItemCandidate JobService::CandidateOf(const internal::OwnedJob& job, std::size_t item) const {
+  const std::int64_t due = job.claim.accepted_unix_ms + job.claim.results_due_ms;
+  const ItemProgress& progress = job.items.Progress(item);
+  return {milliseconds(due - internal::UnixTimeMs()),
+          this->pace.LeftToRun(job.items.Spec(item).tokens, progress.last_event.value_or(0))};
+}
+
+void JobService::RecordPace(internal::OwnedJob& job, const internal::ItemAttempt& attempt,
+                            bool completed) {
+  const std::int64_t events = job.items.Progress(attempt.item).last_event.value_or(0);
+  this->pace.RecordAttempt(events - attempt.events_before, net::Now() - attempt.started);
+  if (completed) {
+    this->pace.RecordCompleted(job.items.Spec(attempt.item).tokens, events);
+  }
+}
+
 bool JobService::StartNextItem() {
   Job next;
   std::size_t next_item = 0;
-  std::int64_t earliest_due = std::numeric_limits<std::int64_t>::max();
+  ItemCandidate best;
   const net::SteadyTime now = net::Now();
   for (const auto& [id, job] : this->owned) {
-    const std::int64_t due = job->claim.accepted_unix_ms + job->claim.results_due_ms;
-    if (due >= earliest_due || job->is_handing_over || job->is_dropped) {
+    if (job->is_handing_over || job->is_dropped) {
+      continue;
+    }
+    const std::optional<std::size_t> item = job->items.NextItem(now);
+    if (!item) {
       continue;
     }
-    if (const std::optional<std::size_t> item = job->items.NextItem(now)) {
+    const ItemCandidate candidate = this->CandidateOf(*job, *item);
+    if (!next || ItemOrder::StartsBefore(candidate, best)) {
       next = job;
       next_item = *item;
-      earliest_due = due;
+      best = candidate;
     }
   }
   if (!next) {
@@ -225,6 +245,7 @@
   attempt->item = item;
   attempt->endpoint_key = lease.Endpoint().key;
   attempt->started = net::Now();
+  attempt->events_before = job->items.Progress(item).last_event.value_or(0);
   job->attempts.push_back(attempt);
   net::asio::co_spawn(this->gateway.executor, this->RunItem(job, attempt, std::move(lease)),
                       net::asio::detached);
@@ -243,6 +264,7 @@
     co_return;
   }
   progress.phase = ItemPhase::kWaiting;
+  this->RecordPace(*job, *attempt, outcome == ItemAttemptOutcome::kComplete);
   if (outcome == ItemAttemptOutcome::kComplete) {
     job->items.End(item, ItemOutcome::kCompleted);
   } else if (outcome == ItemAttemptOutcome::kPermanentFailure) {
@@ -274,6 +296,24 @@
       .With("ms", net::ToMilliseconds(net::Now() - attempt->started).count());
 }
 
+std::shared_ptr<internal::ItemAttempt> JobService::NextToYield(std::uint32_t endpoint) const {
+  std::shared_ptr<internal::ItemAttempt> chosen;
+  ItemCandidate chosen_item;
+  for (const auto& [id, job] : this->owned) {
+    for (const auto& attempt : job->attempts) {
+      if (attempt->endpoint_key != endpoint || attempt->cancel.IsCancelled()) {
+        continue;
+      }
+      const ItemCandidate item = this->CandidateOf(*job, attempt->item);
+      if (!chosen || ItemOrder::YieldsBefore(item, chosen_item)) {
+        chosen = attempt;
+        chosen_item = item;
+      }
+    }
+  }
+  return chosen;
+}
+
 void JobService::YieldToOnline() {
   const net::SteadyTime now = net::Now();
   for (const auto& [id, endpoint] : this->gateway.registry.All()) {
@@ -284,17 +324,8 @@
         this->gateway.registry.BatchYieldingBefore(this->peers.Name(), endpoint->key);
     int excess = gateway::EndpointRegistry::BatchToYield(*endpoint, before, now);
     while (excess-- > 0) {
-      std::shared_ptr<internal::ItemAttempt> newest;
-      for (const auto& [job_id, job] : this->owned) {
-        for (const auto& attempt : job->attempts) {
-          const bool counts =
-              attempt->endpoint_key == endpoint->key && !attempt->cancel.IsCancelled();
-          if (counts && (!newest || attempt->started > newest->started)) {
-            newest = attempt;
-          }
-        }
-      }
-      if (!newest) {
+      const std::shared_ptr<internal::ItemAttempt> yielding = this->NextToYield(endpoint->key);
+      if (!yielding) {
         break;
       }
       net::LogLine("item_yielded", net::LogImportance::kRoutine)
@@ -302,8 +333,8 @@
           .With("own", endpoint->OwnTotal())
           .With("peers", endpoint->peer_online + endpoint->peer_batch)
           .With("slots", endpoint->entry.slots)
-          .With("ran_ms", net::ToMilliseconds(now - newest->started).count());
-      newest->cancel.Cancel();
+          .With("ran_ms", net::ToMilliseconds(now - yielding->started).count());
+      yielding->cancel.Cancel();
       this->gateway.metrics.GetCounter("job_items_yielded_total").Add();
     }
   }
--- a/src/jobs/internal/item_tracker.cc
+++ b/src/jobs/internal/item_tracker.cc
@@ -15,6 +15,8 @@
   for (std::size_t item = 0; item < this->spec.items.size(); ++item) {
     if (ended.contains(this->spec.items[item].id)) {
       this->progress[item].phase = ItemPhase::kEnded;
+    } else {
+      this->waiting_tokens += this->spec.items[item].tokens;
     }
   }
 }
@@ -45,7 +47,8 @@
   if (outcome == ItemOutcome::kGivenUp) {
     output.clear();
   }
-  this->uncommitted.push_back({this->spec.items[item].id, outcome, std::move(output)});
+  const ItemSpec& ended = this->spec.items[item];
+  this->uncommitted.push_back({{ended.id, outcome, std::move(output)}, ended.tokens});
 }
 
 void ItemTracker::GiveUpRest() {
@@ -58,7 +61,7 @@
                                                          std::size_t max_results) const {
   std::vector<ItemResult> results;
   std::size_t bytes = 0;
-  for (const ItemResult& result : this->uncommitted) {
+  for (const auto& [result, tokens] : this->uncommitted) {
     bytes += result.output.size();
     if (results.size() >= max_results || (!results.empty() && bytes > max_bytes)) {
       break;
@@ -68,7 +71,16 @@
   return results;
 }
 
+std::int64_t ItemTracker::WaitingTokensAfter(std::size_t count) const {
+  std::int64_t tokens = this->waiting_tokens;
+  for (std::size_t index = 0; index < std::min(count, this->uncommitted.size()); ++index) {
+    tokens -= this->uncommitted[index].tokens;
+  }
+  return tokens;
+}
+
 void ItemTracker::NoteCommitted(std::size_t count) {
+  this->waiting_tokens = this->WaitingTokensAfter(count);
   this->uncommitted.erase(this->uncommitted.begin(),
                           this->uncommitted.begin() + static_cast<std::ptrdiff_t>(count));
   this->committed_count += count;
@@ -95,10 +107,10 @@
   return unsaved;
 }
 
-void ItemTracker::NoteSaved(std::size_t item) {
-  ItemProgress& state = this->progress[item];
-  state.saved_event = state.last_event;
-  state.saved_failures = state.failures;
+void ItemTracker::NoteSaved(std::size_t item, std::optional<std::int64_t> last_event,
+                            int failures) {
+  this->progress[item].saved_event = last_event;
+  this->progress[item].saved_failures = failures;
 }
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/internal/job_api.cc
+++ b/src/jobs/internal/job_api.cc
@@ -50,7 +50,11 @@
 }  // namespace
 
 JobApi::JobApi(gateway::Gateway& gateway, JobStore& store, JobService& service, std::string owner)
-    : gateway(gateway), store(store), service(service), owner(std::move(owner)) {}
+    : gateway(gateway),
+      store(store),
+      service(service),
+      acceptance(store, service),
+      owner(std::move(owner)) {}
 
 awaitable<net::Response> JobApi::Handle(gateway::InferenceRequest request,
                                         gateway::RoutedRequest routed) {
@@ -96,45 +100,81 @@
   claim.results_due_ms = routed.route->results_due.count();
   claim.give_up_after_ms = routed.route->give_up_after.count();
   claim.max_attempts = routed.route->max_attempts;
-  CreateOutcome created = co_await this->store.Create(claim, std::move(request.message.body()),
-                                                      net::Now() + kSubmitTimeout);
-  const ClaimOutcome outcome = std::move(created.claim);
+  claim.route = routed.route->Key();
+  for (const ItemSpec& item : spec.items) {
+    claim.waiting_tokens += item.tokens;
+  }
+  const JobAcceptance::Outcome outcome = co_await this->acceptance.Accept(
+      claim, std::move(request.message.body()), routed.route->max_waiting_tokens,
+      net::Now() + kSubmitTimeout);
   if (const auto* error = std::get_if<rowstore::StoreError>(&outcome)) {
-    net::LogLine("job_not_accepted")
-        .With("job", claim.job)
-        .With("reason", rowstore::NameOf(*error))
-        .With("ms", net::ToMilliseconds(net::Now() - routed.arrival).count());
-    // If the answer was lost, the job may be stored, so the submission must not be refused.
-    const bool not_applied = *error == rowstore::StoreError::kNotApplied;
-    co_return not_applied ? StoreUnavailable()
-                          : gateway::MakeErrorResponse(status::gateway_timeout, "store_unknown");
+    co_return this->AnswerStoreError(claim, *error, routed.arrival);
   }
-  if (std::holds_alternative<NoSuchJob>(outcome)) {
-    co_return gateway::MakeErrorResponse(status::gateway_timeout, "store_unknown");
+  if (const auto* over = std::get_if<OverTokenLimit>(&outcome)) {
+    co_return this->AnswerOverLimit(claim, *routed.route, *over);
   }
-  const Claim accepted = std::get<Claim>(outcome);
+  const auto& accepted = std::get<JobAccepted>(outcome);
+  this->gateway.metrics.GetCounter("job_submissions_total", {{"outcome", "accepted"}}).Add();
   net::LogLine("job_accepted")
       .With("job", claim.job)
-      .With("items", accepted.total)
-      .With("claim", accepted.version)
-      .With("owner", accepted.owner)
+      .With("items", accepted.claim.total)
+      .With("tokens", claim.waiting_tokens)
+      .With("claim", accepted.claim.version)
+      .With("owner", accepted.claim.owner)
       .With("ms", net::ToMilliseconds(net::Now() - routed.arrival).count());
-  if (created.is_new && !accepted.owner.empty()) {
-    this->service.StartJob(accepted, std::move(spec));
+  if (accepted.is_first && !accepted.claim.owner.empty()) {
+    this->service.StartJob(accepted.claim, std::move(spec));
   }
   co_return JsonResponse(status::accepted, "{}");
 }
 
+net::Response JobApi::AnswerStoreError(const Claim& claim, rowstore::StoreError error,
+                                       net::SteadyTime arrival) {
+  this->gateway.metrics.GetCounter("job_submissions_total", {{"outcome", "store_error"}}).Add();
+  net::LogLine("job_not_accepted")
+      .With("job", claim.job)
+      .With("reason", rowstore::NameOf(error))
+      .With("ms", net::ToMilliseconds(net::Now() - arrival).count());
+  // If the answer was lost, the job may be stored, so the submission must not be refused.
+  return error == rowstore::StoreError::kNotApplied
+             ? StoreUnavailable()
+             : gateway::MakeErrorResponse(status::gateway_timeout, "store_unknown");
+}
+
+net::Response JobApi::AnswerOverLimit(const Claim& claim, const gateway::Route& route,
+                                      const OverTokenLimit& over) {
+  const milliseconds wait = this->service.RetryAfter(claim.route, over.excess);
+  this->gateway.metrics.GetCounter("job_submissions_total", {{"outcome", "over_token_limit"}})
+      .Add();
+  net::LogLine("job_not_accepted")
+      .With("job", claim.job)
+      .With("reason", "over_token_limit")
+      .With("route", route.name)
+      .With("tokens", claim.waiting_tokens)
+      .With("waiting", over.waiting)
+      .With("limit", route.max_waiting_tokens)
+      .With("config", this->gateway.routes.Version())
+      .With("retry_after_ms", wait.count());
+  net::Response response = gateway::MakeRefusalResponse("over_token_limit", wait);
+  response.result(status::too_many_requests);
+  return response;
+}
+
 awaitable<ClaimOutcome> JobApi::FindClaim(std::string job, net::SteadyTime deadline) {
   if (!IsValidId(job)) {
     co_return NoSuchJob{};
   }
-  if (const Claim* cached = this->service.FindClaim(job)) {
+  const Claim* cached = this->service.FindClaim(job);
+  if (cached != nullptr && cached->state != JobState::kSubmitted) {
     co_return *cached;
   }
   ClaimOutcome outcome = co_await this->store.ReadClaim(job, deadline);
   if (const auto* claim = std::get_if<Claim>(&outcome)) {
     this->service.UpdateClaim(*claim);
+    if (claim->state == JobState::kSubmitted) {
+      co_return rowstore::StoreError::kNotApplied;  // whether the job is accepted is not decided
+                                                    // yet
+    }
   }
   co_return outcome;
 }
@@ -194,12 +234,14 @@
       co_return StoreUnavailable();
     }
     Claim claim = std::get<Claim>(outcome);
-    if (claim.state == JobState::kOpen) {
+    if (claim.state == JobState::kOpen || claim.state == JobState::kSubmitted) {
       claim.state = JobState::kEnded;
       outcome = co_await this->store.ReplaceClaim(claim, {}, deadline);
     }
     const auto* current = std::get_if<Claim>(&outcome);
-    if (current != nullptr && current->state != JobState::kOpen) {
+    const bool has_ended = current != nullptr && current->state != JobState::kOpen &&
+                           current->state != JobState::kSubmitted;
+    if (has_ended) {
       this->service.UpdateClaim(*current);
       net::LogLine("job_ended").With("job", call.job).With("claim", current->version);
       co_return JsonResponse(status::ok, "{}");
--- a/src/jobs/internal/job_directory.cc
+++ b/src/jobs/internal/job_directory.cc
@@ -30,6 +30,15 @@
   return true;
 }
 
+bool JobDirectory::Remove(const std::string& job, rowstore::Version version) {
+  const auto found = this->entries.find(job);
+  if (found != this->entries.end() && version < found->second.claim.version) {
+    return false;
+  }
+  this->entries.erase(job);
+  return true;
+}
+
 std::vector<std::string> JobDirectory::RetainOnly(const std::set<std::string>& snapshot_jobs,
                                                   rowstore::Version version) {
   std::vector<std::string> removed;
--- a/src/jobs/internal/job_rows.cc
+++ b/src/jobs/internal/job_rows.cc
@@ -56,6 +56,8 @@
                {"due", claim.results_due_ms},
                {"give_up", claim.give_up_after_ms},
                {"attempts", claim.max_attempts},
+               {"route", claim.route},
+               {"tokens", claim.waiting_tokens},
                {"object", claim.spec_in_object}});
 }
 
@@ -77,6 +79,8 @@
     value.at("give_up").get_to(claim.give_up_after_ms);
     value.at("attempts").get_to(claim.max_attempts);
     value.at("object").get_to(claim.spec_in_object);
+    claim.route = value.value("route", "");
+    claim.waiting_tokens = value.value("tokens", std::int64_t{0});
     return claim;
   } catch (const json::exception&) {
     return std::nullopt;  // this version cannot read the layout of the row
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -47,7 +47,7 @@
   for (const std::string& job : this->directory.RetainOnly(snapshot_jobs, version)) {
     this->HandleRemovedClaim(job);
   }
-  this->ChangeClaims(rows);
+  this->ChangeClaims(rows, version);
 }
 
 void JobService::HandleRemovedClaim(const std::string& job) {
@@ -58,11 +58,14 @@
   }
 }
 
-void JobService::ChangeClaims(const std::vector<rowstore::Row>& rows) {
+void JobService::ChangeClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version) {
+  this->claims_version = std::max(this->claims_version, version);
   for (const rowstore::Row& row : rows) {
     if (row.removed) {
-      this->directory.Remove(row.key.key);
-      this->HandleRemovedClaim(row.key.key);
+      const rowstore::Version removed_at = row.version > 0 ? row.version : version;
+      if (this->directory.Remove(row.key.key, removed_at)) {
+        this->HandleRemovedClaim(row.key.key);
+      }
     } else if (const std::optional<Claim> claim = internal::DecodeClaim(row)) {
       this->UpdateClaim(*claim);
     }
@@ -70,6 +73,7 @@
 }
 
 void JobService::UpdateClaim(const Claim& claim) {
+  this->NoteDrained(claim);
   if (!this->directory.Put(claim)) {
     return;
   }
@@ -225,6 +229,7 @@
     }
     this->YieldToOnline();
     this->RemoveExpiredJobs();
+    this->RemoveAbandonedSubmissions();
     timer.expires_after(kTick);
     co_await timer.async_wait(net::kAwaitWithError);
   }
@@ -240,8 +245,7 @@
   for (const auto& [id, entry] : this->directory.Entries()) {
     const bool is_old = internal::UnixTimeMs() - entry.claim.accepted_unix_ms >
                         kRetentionFactor * this->retention.count();
-    const bool is_first = TakeoverPolicy::Delay(id, alive, this->peers.Incarnation()) ==
-                          TakeoverPolicy::Delay(id, {}, this->peers.Incarnation());
+    const bool is_first = TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation());
     if (entry.claim.state != JobState::kOpen && is_old && is_first) {
       net::asio::co_spawn(this->gateway.executor, this->RemoveJob(entry.claim),
                           net::asio::detached);
--- a/src/jobs/internal/job_store.cc
+++ b/src/jobs/internal/job_store.cc
@@ -88,9 +88,51 @@
   co_return std::move(outcome.claim);
 }
 
+awaitable<ClaimOutcome> JobStore::Withdraw(Claim claim, net::SteadyTime deadline) {
+  rowstore::RowRange range = internal::RowsOfJob(internal::kSpecTable, claim.job);
+  rowstore::ReadOutcome specs = co_await this->store.Read(range, deadline);
+  if (const auto* error = std::get_if<StoreError>(&specs)) {
+    co_return *error;
+  }
+  rowstore::Transaction transaction;
+  transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
+  transaction.removed.push_back(internal::ClaimKey(claim.job));
+  for (const rowstore::Row& row : std::get<rowstore::ReadRows>(specs).rows) {
+    transaction.removed.push_back(row.key);
+  }
+  rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
+  if (const auto* error = std::get_if<StoreError>(&outcome)) {
+    co_return *error;
+  }
+  if (std::holds_alternative<rowstore::Committed>(outcome)) {
+    co_return NoSuchJob{};
+  }
+  co_return co_await this->ReadClaim(claim.job, deadline);
+}
+
+awaitable<rowstore::ReadOutcome> JobStore::ReadChangedClaims(rowstore::Version after) {
+  co_return co_await this->store.WaitForChanges(internal::kClaimTable, after,
+                                                std::chrono::milliseconds(0));
+}
+
+awaitable<rowstore::ReadOutcome> JobStore::ReadAllClaims(net::SteadyTime deadline) {
+  rowstore::ReadRows all;
+  for (const std::string& part : internal::JobParts()) {
+    rowstore::RowRange range{internal::kClaimTable, part, "", ""};
+    rowstore::ReadOutcome outcome = co_await this->store.Read(range, deadline);
+    auto* read = std::get_if<rowstore::ReadRows>(&outcome);
+    if (read == nullptr) {
+      co_return outcome;
+    }
+    all.version = all.version == 0 ? read->version : std::min(all.version, read->version);
+    std::move(read->rows.begin(), read->rows.end(), std::back_inserter(all.rows));
+  }
+  co_return all;
+}
+
 awaitable<ClaimOutcome> JobStore::AppendResults(Claim claim, std::uint64_t position,
-                                                std::vector<ItemResult> results, bool is_last,
-                                                net::SteadyTime deadline) {
+                                                std::vector<ItemResult> results,
+                                                AppendOptions options, net::SteadyTime deadline) {
   rowstore::Transaction transaction;
   transaction.expected.push_back({internal::ClaimKey(claim.job), claim.version});
   transaction.expected.push_back({{internal::kResultTable, internal::PartOf(claim.job),
@@ -104,8 +146,12 @@
     ++position;
   }
   const Claim before = claim;
-  if (is_last) {
+  claim.waiting_tokens = options.waiting_tokens;
+  if (options.is_last) {
     claim.state = JobState::kDone;
+  }
+  const bool writes_claim = options.is_last || options.counts_tokens;
+  if (writes_claim) {
     transaction.written.push_back({internal::ClaimKey(claim.job), internal::EncodeClaim(claim)});
   }
   rowstore::CommitOutcome outcome = co_await this->store.Commit(std::move(transaction), deadline);
@@ -113,7 +159,10 @@
     co_return *error;
   }
   if (const auto* committed = std::get_if<rowstore::Committed>(&outcome)) {
-    claim.version = is_last ? committed->version : before.version;
+    if (!writes_claim) {
+      co_return before;
+    }
+    claim.version = committed->version;
     co_return claim;
   }
   const auto& rows = std::get<rowstore::Conflict>(outcome).rows;
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -18,12 +18,18 @@
 constexpr milliseconds kCommitTimeout{4000};
 // A node that is lost loses about this much progress of its items.
 constexpr milliseconds kProgressSavePeriod{1500};
-// After a failed save, an item is saved again with its next progress.
 constexpr milliseconds kSaveTimeout{1000};
 constexpr milliseconds kCommitRetryDelay{300};  // after a write that was not confirmed
 constexpr milliseconds kHandOverTimeout{5000};  // shorter than the grace period of a stop
 constexpr milliseconds kWritePollPeriod{20};
 
+/// Progress of an item as it is being saved.
+struct SavedItem {
+  std::size_t item = 0;
+  std::optional<std::int64_t> last_event;
+  int failures = 0;
+};
+
 }  // namespace
 
 awaitable<void> JobService::CommitResults(Job job) {
@@ -32,8 +38,10 @@
         job->items.NextResultsToCommit(kMaxCommitBytes, kMaxCommitResults);
     const bool is_last = job->items.IsCompleteAfter(results.size());
     const Claim claim = job->claim;
+    const AppendOptions options{is_last, this->TokenLimitOf(claim) > 0,
+                                job->items.WaitingTokensAfter(results.size())};
     ClaimOutcome outcome = co_await this->store.AppendResults(
-        claim, job->items.NextPosition(), results, is_last, net::Now() + kCommitTimeout);
+        claim, job->items.NextPosition(), results, options, net::Now() + kCommitTimeout);
     const auto* current = std::get_if<Claim>(&outcome);
     if (job->is_dropped) {
       break;
@@ -59,6 +67,7 @@
       break;
     }
     job->claim = *current;
+    this->UpdateClaim(*current);
     job->items.NoteCommitted(results.size());
     this->gateway.metrics.GetCounter("job_results_total").Add(results.size());
     net::LogLine("results_listed", net::LogImportance::kRoutine)
@@ -86,16 +95,29 @@
 
 awaitable<void> JobService::SaveProgress(Job job) {
   std::vector<rowstore::WrittenRow> rows;
+  std::vector<SavedItem> saved_items;
   std::size_t bytes = 0;
   for (const std::size_t item : job->items.Unsaved()) {
-    bytes += job->items.Progress(item).output.size();
+    const ItemProgress& progress = job->items.Progress(item);
+    bytes += progress.output.size();
     if (bytes > kMaxCommitBytes || rows.size() >= kMaxCommitResults) {
       break;
     }
-    rows.push_back(internal::ProgressRow(job->claim.job, item, job->items.Progress(item)));
-    job->items.NoteSaved(item);
+    rows.push_back(internal::ProgressRow(job->claim.job, item, progress));
+    saved_items.push_back({item, progress.last_event, progress.failures});
+  }
+  const bool saved =
+      co_await this->store.SaveProgress(job->claim, std::move(rows), net::Now() + kSaveTimeout);
+  if (saved) {
+    for (const SavedItem& item : saved_items) {
+      job->items.NoteSaved(item.item, item.last_event, item.failures);
+    }
+  } else {
+    net::LogLine("progress_not_saved", net::LogImportance::kRoutine)
+        .With("job", job->claim.job)
+        .With("items", saved_items.size())
+        .With("claim", job->claim.version);
   }
-  co_await this->store.SaveProgress(job->claim, std::move(rows), net::Now() + kSaveTimeout);
   job->is_saving_progress = false;
 }
 
--- a/src/jobs/internal/owned_job.h
+++ b/src/jobs/internal/owned_job.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -15,6 +16,7 @@
   std::size_t item = 0;
   std::uint32_t endpoint_key = 0;
   net::SteadyTime started;
+  std::int64_t events_before = 0;  ///< events that the item had when the attempt started
   gateway::CancelScope cancel;
 };
 
--- a/src/jobs/item_tracker.h
+++ b/src/jobs/item_tracker.h
@@ -28,6 +28,9 @@
 
   [[nodiscard]] const ItemSpec& Spec(std::size_t item) const { return this->spec.items[item]; }
   [[nodiscard]] ItemProgress& Progress(std::size_t item) { return this->progress[item]; }
+  [[nodiscard]] const ItemProgress& Progress(std::size_t item) const {
+    return this->progress[item];
+  }
   [[nodiscard]] std::size_t Size() const { return this->spec.items.size(); }
 
   /// Ends an item unless it has ended, and queues its result to be committed.
@@ -45,6 +48,10 @@
   /// Removes the first results from the queue once they are committed.
   void NoteCommitted(std::size_t count);
 
+  /// Returns the tokens of the items that have no committed result once the next `count` results
+  /// are committed.
+  [[nodiscard]] std::int64_t WaitingTokensAfter(std::size_t count) const;
+
   /// Returns the position of the next result.
   [[nodiscard]] std::uint64_t NextPosition() const { return this->committed_count; }
 
@@ -62,13 +69,20 @@
   /// Returns the indices of the items whose progress has changed since it was last saved.
   [[nodiscard]] std::vector<std::size_t> Unsaved() const;
 
-  /// Records that the current progress of an item is being saved.
-  void NoteSaved(std::size_t item);
+  /// Records that an item has been saved with this progress.
+  void NoteSaved(std::size_t item, std::optional<std::int64_t> last_event, int failures);
 
  private:
+  /// A result that is to be committed.
+  struct QueuedResult {
+    ItemResult result;
+    std::int64_t tokens = 0;
+  };
+
   JobSpec spec;
   std::vector<ItemProgress> progress;
-  std::deque<ItemResult> uncommitted;
+  std::deque<QueuedResult> uncommitted;
+  std::int64_t waiting_tokens = 0;
   std::uint64_t committed_count = 0;
 };
 
--- a/src/jobs/job_api.h
+++ b/src/jobs/job_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/types/routed_request.h"
+#include "jobs/job_acceptance.h"
 #include "jobs/job_service.h"
 #include "jobs/job_store.h"
 #include "jobs/types/job_call.h"
@@ -20,6 +21,10 @@
  private:
   net::asio::awaitable<net::Response> Submit(gateway::InferenceRequest request,
                                              gateway::RoutedRequest routed);
+  net::Response AnswerOverLimit(const Claim& claim, const gateway::Route& route,
+                                const OverTokenLimit& over);
+  net::Response AnswerStoreError(const Claim& claim, rowstore::StoreError error,
+                                 net::SteadyTime arrival);
   net::asio::awaitable<net::Response> Read(ReadResultsCall call);
   net::asio::awaitable<net::Response> ReadItem(ReadItemCall call);
   net::asio::awaitable<net::Response> End(EndJobCall call);
@@ -28,6 +33,7 @@
   gateway::Gateway& gateway;
   JobStore& store;
   JobService& service;
+  JobAcceptance acceptance;
   std::string owner;
 };
 
--- a/src/jobs/job_directory.h
+++ b/src/jobs/job_directory.h
@@ -24,8 +24,10 @@
   /// @return whether the claim was stored.
   bool Put(const Claim& claim);
 
-  /// Removes the claim of a job.
-  void Remove(const std::string& job) { this->entries.erase(job); }
+  /// Removes the claim of a job, unless a newer one has been stored since.
+  /// @param version version of the removal.
+  /// @return whether no claim is left.
+  bool Remove(const std::string& job, rowstore::Version version);
 
   /// Removes the claims that a snapshot of all claims does not contain.
   /// @param snapshot_jobs jobs in the snapshot.
@@ -38,6 +40,7 @@
   [[nodiscard]] const Claim* Find(const std::string& job) const;
 
   [[nodiscard]] std::map<std::string, Entry>& Entries() { return this->entries; }
+  [[nodiscard]] const std::map<std::string, Entry>& Entries() const { return this->entries; }
 
  private:
   std::map<std::string, Entry> entries;
@@ -52,6 +55,12 @@
   [[nodiscard]] static std::chrono::milliseconds Delay(const std::string& job,
                                                        const std::vector<std::string>& alive,
                                                        const std::string& self);
+
+  /// Tells whether a node ranks first for a job among the live nodes.
+  [[nodiscard]] static bool IsFirst(const std::string& job, const std::vector<std::string>& alive,
+                                    const std::string& self) {
+    return Delay(job, alive, self) == Delay(job, {}, self);
+  }
 };
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -7,8 +7,11 @@
 
 #include "gateway/gateway.h"
 #include "jobs/internal/owned_job.h"
+#include "jobs/item_order.h"
+#include "jobs/item_pace.h"
 #include "jobs/job_directory.h"
 #include "jobs/job_store.h"
+#include "jobs/token_drain.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
 
@@ -26,7 +29,13 @@
   void ReplaceClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version);
 
   /// Applies changed and removed claims.
-  void ChangeClaims(const std::vector<rowstore::Row>& rows);
+  /// @param version version of the store that the changes reach up to.
+  void ChangeClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version);
+
+  /// Reads the claims that changed since the last ones that this node has.
+  /// @param at_least version of the store that the claims must include.
+  /// @return whether they do; false if the store did not answer in time.
+  net::asio::awaitable<bool> RefreshClaims(rowstore::Version at_least, net::SteadyTime deadline);
 
   /// Starts a job that this node has just accepted.
   void StartJob(const Claim& claim, JobSpec spec);
@@ -34,6 +43,16 @@
   /// Applies a claim if it is newer than the known one.
   void UpdateClaim(const Claim& claim);
 
+  /// The claims that this node knows.
+  [[nodiscard]] const JobDirectory& Directory() const { return this->directory; }
+
+  /// Returns the delay after which a caller whose job exceeds a route's limit is to return.
+  /// @param excess tokens beyond the limit.
+  [[nodiscard]] std::chrono::milliseconds RetryAfter(const std::string& route, std::int64_t excess);
+
+  /// Sets the metrics of the waiting tokens of each route.
+  void UpdateGauges();
+
   [[nodiscard]] const Claim* FindClaim(const std::string& job) const {
     return this->directory.Find(job);
   }
@@ -55,11 +74,20 @@
   void Drop(const Job& job, std::string_view reason);
   void HandleRemovedClaim(const std::string& job);
   bool StartNextItem();
+  [[nodiscard]] ItemCandidate CandidateOf(const internal::OwnedJob& job, std::size_t item) const;
+  /// Returns the attempt at an endpoint that is to yield next, or null.
+  [[nodiscard]] std::shared_ptr<internal::ItemAttempt> NextToYield(std::uint32_t endpoint) const;
+  void RecordPace(internal::OwnedJob& job, const internal::ItemAttempt& attempt, bool completed);
   void StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease);
   void GiveUpLateItems(const Job& job);
   void GiveUpIfRouteMissing(const Job& job, bool exists);
   void TakeOverOrphans();
   void RemoveExpiredJobs();
+  void RemoveAbandonedSubmissions();
+  net::asio::awaitable<void> WithdrawAbandoned(Claim claim);
+  void NoteDrained(const Claim& claim);
+  /// Returns the limit on the waiting tokens of a job's route; 0 for none.
+  [[nodiscard]] std::int64_t TokenLimitOf(const Claim& claim) const;
   [[nodiscard]] bool IsOrphan(const Claim& claim) const;
   net::asio::awaitable<void> TakeOver(Claim claim);
   net::asio::awaitable<void> RunItem(Job job, std::shared_ptr<internal::ItemAttempt> attempt,
@@ -76,10 +104,14 @@
   peers::NodePresence& presence;
   std::chrono::milliseconds retention;
   JobDirectory directory;
+  rowstore::Version claims_version = 0;      ///< the directory includes all claims up to it
+  std::map<std::string, TokenDrain> drains;  ///< by route
   std::map<std::string, Job> owned;
   std::map<std::string, bool> takeovers;  ///< jobs whose takeover is in progress
+  ItemPace pace;
   net::SteadyTime started;
   net::SteadyTime last_cleanup;
+  net::SteadyTime last_submission_cleanup;
 };
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -2,10 +2,9 @@
 
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
-#include "jobs/types/claim.h"
+#include "jobs/types/claim_outcome.h"
 #include "jobs/types/item_progress.h"
 #include "jobs/types/item_result.h"
 #include "jobs/types/job_spec.h"
@@ -13,10 +12,6 @@
 
 namespace lentilhead::jobs {
 
-/// The store has no claim of the job.
-struct NoSuchJob {};
-using ClaimOutcome = std::variant<Claim, NoSuchJob, rowstore::StoreError>;
-
 /// Outcome of writing a job or a claim.
 struct CreateOutcome {
   ClaimOutcome claim;
@@ -32,6 +27,13 @@
   std::vector<std::pair<std::size_t, ItemProgress>> progress;
 };
 
+/// What AppendResults() writes besides the results.
+struct AppendOptions {
+  bool is_last = false;             ///< mark the job as done
+  bool counts_tokens = false;       ///< write the job's waiting tokens
+  std::int64_t waiting_tokens = 0;  ///< tokens without a result once these results are written
+};
+
 /// Stores batch jobs as rows.
 class JobStore {
  public:
@@ -52,12 +54,22 @@
                                                   std::vector<rowstore::WrittenRow> progress,
                                                   net::SteadyTime deadline);
 
-  /// Appends results at the next positions; the last ones also mark the job as done.
+  /// Removes a submitted job if the store still has the claim's version.
+  /// @return NoSuchJob once it is removed; else the claim stored afterwards.
+  net::asio::awaitable<ClaimOutcome> Withdraw(Claim claim, net::SteadyTime deadline);
+
+  /// Reads the claims that changed after a version, in a single call that does not wait.
+  net::asio::awaitable<rowstore::ReadOutcome> ReadChangedClaims(rowstore::Version after);
+
+  /// Reads all claims.
+  net::asio::awaitable<rowstore::ReadOutcome> ReadAllClaims(net::SteadyTime deadline);
+
+  /// Appends results at the next positions.
   /// @return the claim stored afterwards; another owner in it means that the job was taken over and
   ///   the results were not written; kRejected if other results are at the positions.
   net::asio::awaitable<ClaimOutcome> AppendResults(Claim claim, std::uint64_t position,
-                                                   std::vector<ItemResult> results, bool is_last,
-                                                   net::SteadyTime deadline);
+                                                   std::vector<ItemResult> results,
+                                                   AppendOptions options, net::SteadyTime deadline);
 
   /// Writes the progress of items.
   /// @param rows rows of progress, within the limits of a transaction.
--- a/src/jobs/tests/item_tracker_test.cc
+++ b/src/jobs/tests/item_tracker_test.cc
@@ -68,8 +68,8 @@
   items.Progress(0).last_event = 3;
   items.Progress(1).failures = 1;
   CHECK(items.Unsaved() == std::vector<std::size_t>{0, 1});
-  items.NoteSaved(0);
-  items.NoteSaved(1);
+  items.NoteSaved(0, 3, 0);
+  items.NoteSaved(1, std::nullopt, 1);
   CHECK(items.Unsaved().empty());
   items.Progress(0).last_event = 4;
   CHECK(items.Unsaved() == std::vector<std::size_t>{0});
@@ -77,6 +77,32 @@
   CHECK(items.Unsaved().empty());
 }
 
+TEST_CASE("progress that was not saved, or that was made during the save, is saved again") {
+  ItemTracker items(Spec(2), {});
+  items.Progress(0).last_event = 5;
+  CHECK(items.Unsaved() == std::vector<std::size_t>{0});
+  CHECK(items.Unsaved() == std::vector<std::size_t>{0});
+  items.Progress(0).last_event = 7;
+  items.NoteSaved(0, 5, 0);
+  CHECK(items.Unsaved() == std::vector<std::size_t>{0});
+}
+
+TEST_CASE("waiting tokens decrease as results are committed, not as items end") {
+  JobSpec spec = Spec(3);
+  spec.items[0].tokens = 100;
+  spec.items[1].tokens = 20;
+  spec.items[2].tokens = 3;
+  ItemTracker items(std::move(spec), {{"item-1", ItemOutcome::kCompleted, "x"}});
+  CHECK(items.WaitingTokensAfter(0) == 103);
+  items.End(2, ItemOutcome::kGivenUp);
+  items.End(0, ItemOutcome::kCompleted);
+  CHECK(items.WaitingTokensAfter(0) == 103);
+  CHECK(items.WaitingTokensAfter(1) == 100);
+  items.NoteCommitted(1);
+  CHECK(items.WaitingTokensAfter(0) == 100);
+  CHECK(items.WaitingTokensAfter(1) == 0);
+}
+
 TEST_CASE("giving up the rest ends every item once and discards partial output") {
   ItemTracker items(Spec(2), {});
   items.Progress(0).output = "half";
--- a/src/jobs/tests/job_directory_test.cc
+++ b/src/jobs/tests/job_directory_test.cc
@@ -45,5 +45,17 @@
   CHECK(TakeoverPolicy::Delay("job", {}, "a#1") == *delays.begin());
 }
 
+TEST_CASE("a removal that is older than the claim does not remove it") {
+  JobDirectory directory;
+  Claim claim;
+  claim.job = "a";
+  claim.version = 20;
+  directory.Put(claim);
+  CHECK_FALSE(directory.Remove("a", 19));
+  CHECK(directory.Find("a") != nullptr);
+  CHECK(directory.Remove("a", 21));
+  CHECK(directory.Find("a") == nullptr);
+}
+
 }  // namespace
 }  // namespace lentilhead::jobs
--- a/src/jobs/types/claim.h
+++ b/src/jobs/types/claim.h
@@ -8,9 +8,10 @@
 namespace lentilhead::jobs {
 
 enum class JobState {
-  kOpen,   ///< items remain
-  kDone,   ///< the results of all items are committed
-  kEnded,  ///< ended by its caller
+  kOpen,       ///< items remain
+  kDone,       ///< the results of all items are committed
+  kEnded,      ///< ended by its caller
+  kSubmitted,  ///< stored, but not accepted yet: no item runs
 };
 
 /// The main row of a job: its owner, state and limits. A transaction that writes results expects
@@ -24,6 +25,8 @@
   std::int64_t accepted_unix_ms = 0;
   std::int64_t results_due_ms = 0;    ///< since the job was accepted
   std::int64_t give_up_after_ms = 0;  ///< since the job was accepted; 0 for never
+  std::string route;                  ///< host and path prefix of the job's route
+  std::int64_t waiting_tokens = 0;    ///< tokens of the items without a committed result
   int max_attempts = 1;               ///< failed runs after which an item is given up
   bool spec_in_object = false;        ///< the items are stored in an object, not in rows
   rowstore::Version version = 0;
--- a/src/jobs/types/job_spec.h
+++ b/src/jobs/types/job_spec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +13,7 @@
   std::string path;
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
+  std::int64_t tokens = 0;  ///< tokens of the prompt plus the most that the item may generate
 };
 
 /// The requests of a batch job, in the order of the submission.
