Divide the nodes of a large fleet into groups that share out the endpoints

Cause: every node sent every other one its loads, and used every endpoint. At 295 nodes that was 118,000 messages a second with knowledge up to 740 ms old.

Change: nodes of a fleet of more than 24 form groups of at most 16 in a zone, by the table of nodes; each endpoint belongs to one group, services with fewer than two endpoints a group to all (PeerGroups). Nodes exchange loads in their group only and use its endpoints first; online requests leave the group while it has no slot. Orphaned jobs are taken over by one group first. Up to 24 nodes nothing changes.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -65,7 +65,7 @@
       peers(this->gateway, this->view, {this->settings.callers.address(), this->settings.load_port},
             this->settings.name, NewIncarnation(this->settings.name)),
       presence(this->gateway, this->store, this->peers,
-               this->settings.callers.address().to_string()),
+               {this->settings.name, this->settings.zone, this->settings.callers.address()}),
       view_relay(this->gateway, this->view, this->peers, PeerListener(this->settings).port()),
       job_store(this->store, this->settings.row_bytes),
       job_service(this->gateway, this->job_store, this->peers, this->presence,
@@ -295,6 +295,27 @@
   this->presence.RefreshAfterStall();
 }
 
+void NodeProgram::UpdateGroup() {
+  const peers::PeerGroups& groups = this->presence.Groups();
+  const std::pair current(groups.Version(), this->gateway.registry.ListVersion());
+  if (current == this->group_versions) {
+    return;
+  }
+  this->group_versions = current;
+  std::vector<gateway::EndpointEntry> endpoints;
+  for (const auto& [id, endpoint] : this->gateway.registry.All()) {
+    endpoints.push_back(endpoint->entry);
+  }
+  const gateway::EndpointGroup group = groups.Select(endpoints);
+  this->gateway.registry.SetGroup(group);
+  this->peers.SetGroup(groups.OwnGroup());
+  net::LogLine("group_changed", net::LogImportance::kRoutine)
+      .With("groups", groups.Count())
+      .With("nodes", groups.OwnGroup().size())
+      .With("endpoints", group.shared_by.size())
+      .With("of", endpoints.size());
+}
+
 awaitable<void> NodeProgram::Maintain() {
   net::asio::steady_timer timer(this->executor);
   std::chrono::nanoseconds last = BootTime();
@@ -313,6 +334,7 @@
     this->gateway.pool.Prune(net::Now());
     this->gateway.registry.Prune(net::Now());
     this->gateway.registry.Outliers().UpdateEjections(this->gateway.registry.All(), net::Now());
+    this->UpdateGroup();
     this->gateway.admission.Dispatch();
     if (ticks % kSettingsCheckTicks == 0 &&
         ReadFile(this->options.settings_path) != this->settings_text) {
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -46,6 +46,8 @@
   net::asio::awaitable<void> Leave();
   net::asio::awaitable<void> Maintain();
   void UpdateGauges();
+  /// Divides nodes and endpoints into groups again if either list has changed.
+  void UpdateGroup();
   void Reload(std::string_view cause);
   void RefreshAfterStall();
 
@@ -74,6 +76,7 @@
   AuxiliaryServer metrics_server;
   net::asio::signal_set signals;
   std::string settings_text;
+  std::pair<std::uint64_t, std::uint64_t> group_versions;  ///< lists that the groups are made of
 };
 
 }  // namespace lentilhead::node
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -10,6 +10,7 @@
 #include "gateway/types/choice.h"
 #include "gateway/types/choice_request.h"
 #include "gateway/types/endpoint_entry.h"
+#include "gateway/types/endpoint_group.h"
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/endpoint_state.h"
 
@@ -34,6 +35,13 @@
   /// @param keep_until the endpoint stays usable until then.
   void Remove(const std::string& id, net::SteadyTime keep_until);
 
+  /// Sets the endpoints that this node's group uses first. Others get online requests only while
+  /// none of the group can take one, and no batch requests.
+  void SetGroup(const EndpointGroup& group);
+
+  /// Increases whenever an endpoint is added or deleted.
+  [[nodiscard]] std::uint64_t ListVersion() const { return this->list_version; }
+
   /// Deletes endpoints that are neither listed nor usable and have no request in flight.
   void Prune(net::SteadyTime now);
 
@@ -84,6 +92,13 @@
  private:
   using PeerLoads = std::map<std::uint32_t, EndpointLoad>;
 
+  /// Which endpoints a choice considers.
+  enum class Scope { kGroup, kOthers };
+
+  [[nodiscard]] Choice ChooseAmong(const ChoiceRequest& request, Scope scope,
+                                   net::SteadyTime now) const;
+  [[nodiscard]] double UnseenRequests(const ChoiceRequest& request, Scope scope,
+                                      int shared_by) const;
   [[nodiscard]] double MedianUnitLatency(const std::string& service) const;
   [[nodiscard]] double Fill(const EndpointState& state, double median_latency_ms,
                             net::SteadyTime now) const;
@@ -92,6 +107,8 @@
   std::string zone;
   OutlierDetector outliers;
   std::chrono::milliseconds peer_load_age{0};
+  bool has_whole_group = true;  ///< the group uses all endpoints
+  std::uint64_t list_version = 0;
   std::map<std::string, std::shared_ptr<EndpointState>> endpoints;
   std::map<std::uint32_t, std::shared_ptr<EndpointState>> by_key;
   std::map<std::string, PeerLoads> peers;
@@ -113,6 +130,9 @@
   static void RecordStaleConnection(EndpointState& state, std::chrono::milliseconds idle_time,
                                     net::SteadyTime now);
 
+  /// Records that the endpoint turned a request down as full.
+  static void RecordFull(EndpointState& state, net::SteadyTime now);
+
   /// Records that another endpoint now has the address.
   static void RecordReplacement(EndpointState& state, net::SteadyTime now);
 
--- a/src/gateway/internal/endpoint_feedback.cc
+++ b/src/gateway/internal/endpoint_feedback.cc
@@ -8,6 +8,8 @@
 
 using std::chrono::milliseconds;
 
+// A slot of an endpoint comes free within this time, mostly.
+constexpr std::chrono::milliseconds kFullPause{500};
 constexpr milliseconds kMinSuspicion{300};   // a single failure often affects one connection only
 constexpr milliseconds kMaxSuspicion{3000};  // a recovered endpoint gets requests again by then
 constexpr milliseconds kReplacedSuspicion{10000};  // the outdated entry expires long before
@@ -32,6 +34,10 @@
   state.stale_idle_until = now + kStaleIdleLifetime;
 }
 
+void EndpointFeedback::RecordFull(EndpointState& state, net::SteadyTime now) {
+  state.full_until = now + kFullPause;
+}
+
 void EndpointFeedback::RecordReplacement(EndpointState& state, net::SteadyTime now) {
   state.suspect_until = now + kReplacedSuspicion;
   state.unreachable = true;
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -30,6 +30,8 @@
 // Longer than the longest time between two messages of a peer, which repeat a report while it
 // applies.
 constexpr milliseconds kPeerSuspicion{500};
+// Enough to spread requests over all endpoints outside the group, whose load is mostly unknown.
+constexpr double kUnseenOutsideGroup = 1000;
 constexpr double kZoneAdvantage = 0.02;  // only breaks ties in favour of the own zone
 
 bool IsUsable(const EndpointState& state, net::SteadyTime now) {
@@ -76,6 +78,8 @@
       state->entry.started_unix_ms != entry.started_unix_ms) {
     state = std::make_shared<EndpointState>();
     state->key = HashKey(entry.id);
+    state->in_group = this->has_whole_group;
+    ++this->list_version;
     this->by_key[state->key] = state;
     for (const auto& [peer, loads] : this->peers) {
       if (const auto load = loads.find(state->key); load != loads.end()) {
@@ -116,11 +120,21 @@
   }
 }
 
+void EndpointRegistry::SetGroup(const EndpointGroup& group) {
+  this->has_whole_group = group.is_whole;
+  for (const auto& [id, state] : this->endpoints) {
+    const auto selected = group.shared_by.find(id);
+    state->in_group = selected != group.shared_by.end();
+    state->shared_by = state->in_group ? selected->second : 1;
+  }
+}
+
 void EndpointRegistry::Prune(net::SteadyTime now) {
   std::erase_if(this->endpoints, [&](const auto& item) {
     const EndpointState& state = *item.second;
     const bool expired = !state.listed && now >= state.usable_until && state.OwnTotal() == 0;
     if (expired) {
+      ++this->list_version;
       this->by_key.erase(state.key);
     }
     return expired;
@@ -167,6 +181,26 @@
 }
 
 Choice EndpointRegistry::Choose(const ChoiceRequest& request, net::SteadyTime now) const {
+  Choice choice = this->ChooseAmong(request, Scope::kGroup, now);
+  const bool may_leave_group = !this->has_whole_group && request.work == WorkClass::kOnline;
+  if (choice.endpoint || !may_leave_group) {
+    return choice;
+  }
+  Choice other = this->ChooseAmong(request, Scope::kOthers, now);
+  return other.endpoint || choice.reason == NoChoice::kNoUsable ? other : choice;
+}
+
+double EndpointRegistry::UnseenRequests(const ChoiceRequest& request, Scope scope,
+                                        int shared_by) const {
+  if (scope == Scope::kOthers) {
+    return kUnseenOutsideGroup;
+  }
+  return shared_by * this->outliers.PeerRequestRate(request.service) *
+         std::chrono::duration<double>(this->peer_load_age).count();
+}
+
+Choice EndpointRegistry::ChooseAmong(const ChoiceRequest& request, Scope scope,
+                                     net::SteadyTime now) const {
   const double median_latency_ms = this->MedianUnitLatency(request.service);
   NoChoice reason = NoChoice::kNoUsable;
   Health best_health = Health::kUnreachable;
@@ -176,7 +210,10 @@
   for (const auto& [id, state] : this->endpoints) {
     const bool excluded =
         std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
-    if (state->entry.service != request.service || excluded || !IsUsable(*state, now)) {
+    const bool in_scope =
+        scope == Scope::kGroup ? state->in_group : !state->in_group && now >= state->full_until;
+    if (state->entry.service != request.service || !in_scope || excluded ||
+        !IsUsable(*state, now)) {
       continue;
     }
     reason = NoChoice::kAllFull;
@@ -199,8 +236,7 @@
   if (usable.empty() || (best_health == Health::kUnreachable && any_reachable)) {
     return {nullptr, reason};
   }
-  const double unseen = this->outliers.PeerRequestRate(request.service) *
-                        std::chrono::duration<double>(this->peer_load_age).count();
+  const double unseen = this->UnseenRequests(request, scope, usable.front()->shared_by);
   return {usable[Placement::Choose(candidates, unseen, net::RandomFraction())], NoChoice::kChosen};
 }
 
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -248,6 +248,7 @@
     EndpointFeedback::RecordReplacement(lease.Endpoint(), net::Now());
     co_return Step::kRetry;
   }
+  EndpointFeedback::RecordFull(lease.Endpoint(), net::Now());
   const std::optional<ReportedLoad>& load = answer.decoded.load;
   const bool had_free_slot = load && load->running + load->waiting < lease.Endpoint().entry.slots;
   if (had_free_slot) {
--- a/src/gateway/tests/endpoint_registry_test.cc
+++ b/src/gateway/tests/endpoint_registry_test.cc
@@ -189,5 +189,30 @@
   CHECK(StateOf(registry, "one").suspect_until == net::SteadyTime{});
 }
 
+TEST_CASE("endpoints outside the group get online requests only while the group has no slot") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("mine", 1));
+  registry.Put(Entry("other", 1));
+  registry.SetGroup({{{"mine", 1}}, false});
+  StateOf(registry, "mine").own_online = 1;
+  CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "mine");
+  StateOf(registry, "mine").own_online = 2;
+  CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "other");
+  CHECK_FALSE(registry.Choose({"svc", {}, WorkClass::kBatch}, kStart).endpoint);
+  EndpointFeedback::RecordFull(StateOf(registry, "other"), kStart);
+  CHECK(registry.Choose(Online(), kStart).reason == NoChoice::kAllFull);
+  CHECK(registry.Choose(Online(), kStart + std::chrono::seconds(1)).endpoint->entry.id == "other");
+}
+
+TEST_CASE("an endpoint that joins a fleet of several groups is not used before it is assigned") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("mine"));
+  registry.SetGroup({{{"mine", 1}}, false});
+  const std::uint64_t version = registry.ListVersion();
+  registry.Put(Entry("new"));
+  CHECK(registry.ListVersion() > version);
+  CHECK_FALSE(StateOf(registry, "new").in_group);
+}
+
 }  // namespace
 }  // namespace lentilhead::gateway
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -23,10 +23,13 @@
   DecayingCount attempts;  ///< recent attempts of this node
   DecayingCount failures;  ///< recent attempts of this node that failed
   bool ejected = false;    ///< by outlier detection: the failure rate over all nodes is too high
-  int own_online = 0;      ///< online requests of this node in flight
-  int own_batch = 0;       ///< batch requests of this node in flight
-  int peer_online = 0;     ///< online requests of all other nodes in flight
-  int peer_batch = 0;      ///< batch requests of all other nodes in flight
+  bool in_group = true;    ///< the node's group uses the endpoint first
+  int shared_by = 1;       ///< number of groups that use the endpoint first
+  net::SteadyTime full_until;            ///< outside the group: turned a request down as full
+  int own_online = 0;                    ///< online requests of this node in flight
+  int own_batch = 0;                     ///< batch requests of this node in flight
+  int peer_online = 0;                   ///< online requests of all other nodes in flight
+  int peer_batch = 0;                    ///< batch requests of all other nodes in flight
   std::optional<ReportedLoad> reported;  ///< load from the last answer that stated one
   int own_at_report = 0;                 ///< OwnTotal() when that load was reported
   net::SteadyTime reported_at;
--- a/src/jobs/internal/job_directory.cc
+++ b/src/jobs/internal/job_directory.cc
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds kFirstDelay{200};
 // Longer than a takeover and the delivery of its claim to the other nodes.
 constexpr std::chrono::milliseconds kRankDelay{1200};
+// By then the first nodes of a group that is alive have tried.
+constexpr std::chrono::milliseconds kGroupDelay{4000};
 
 XXH64_hash_t RendezvousWeight(const std::string& job, const std::string& node) {
   const std::string text = job + '\n' + node;
@@ -60,12 +62,13 @@
 
 std::chrono::milliseconds TakeoverPolicy::Delay(const std::string& job,
                                                 const std::vector<std::string>& alive,
-                                                const std::string& self) {
+                                                const std::string& self,
+                                                std::size_t groups_before) {
   const XXH64_hash_t own = RendezvousWeight(job, self);
   const auto before = std::count_if(alive.begin(), alive.end(), [&](const std::string& node) {
     return node != self && RendezvousWeight(job, node) > own;
   });
-  return kFirstDelay + before * kRankDelay;
+  return kFirstDelay + before * kRankDelay + groups_before * kGroupDelay;
 }
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -148,7 +148,8 @@
     }
     // With an empty list this node ranks first.
     const milliseconds delay = TakeoverPolicy::Delay(
-        id, is_own ? std::vector<std::string>{} : alive, this->peers.Incarnation());
+        id, is_own ? std::vector<std::string>{} : alive, this->peers.Incarnation(),
+        is_own ? 0 : this->presence.Groups().GroupsBefore(id));
     if (now - entry.orphan_since >= delay && !this->takeovers[id]) {
       this->takeovers[id] = true;
       net::asio::co_spawn(this->gateway.executor, this->TakeOver(entry.claim), net::asio::detached);
@@ -245,7 +246,8 @@
   for (const auto& [id, entry] : this->directory.Entries()) {
     const bool is_old = internal::UnixTimeMs() - entry.claim.accepted_unix_ms >
                         kRetentionFactor * this->retention.count();
-    const bool is_first = TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation());
+    const bool is_first = TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation(),
+                                                  this->presence.Groups().GroupsBefore(id));
     if (entry.claim.state != JobState::kOpen && is_old && is_first) {
       net::asio::co_spawn(this->gateway.executor, this->RemoveJob(entry.claim),
                           net::asio::detached);
--- a/src/jobs/internal/token_accounting.cc
+++ b/src/jobs/internal/token_accounting.cc
@@ -106,7 +106,8 @@
     if (alive.empty()) {
       alive = this->peers.Alive();
     }
-    if (TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation())) {
+    if (TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation(),
+                                this->presence.Groups().GroupsBefore(id))) {
       net::asio::co_spawn(this->gateway.executor, this->WithdrawAbandoned(claim),
                           net::asio::detached);
     }
--- a/src/jobs/job_directory.h
+++ b/src/jobs/job_directory.h
@@ -49,17 +49,20 @@
 /// Decides which node takes over a job whose owner is lost.
 class TakeoverPolicy {
  public:
-  /// Returns how long a node waits before it takes over a job. The delay grows with the node's rank
-  /// for this job, so that nodes do not compete.
-  /// @param alive incarnations of the live nodes. @param self incarnation of this node.
+  /// Returns how long a node waits before it takes over a job. The delay grows with the rank of its
+  /// group and with its rank in the group for this job, so that nodes do not compete.
+  /// @param alive incarnations of the live nodes of its group.
+  /// @param self incarnation of this node.
+  /// @param groups_before number of groups that rank before its own for this job.
   [[nodiscard]] static std::chrono::milliseconds Delay(const std::string& job,
                                                        const std::vector<std::string>& alive,
-                                                       const std::string& self);
+                                                       const std::string& self,
+                                                       std::size_t groups_before);
 
   /// Tells whether a node ranks first for a job among the live nodes.
   [[nodiscard]] static bool IsFirst(const std::string& job, const std::vector<std::string>& alive,
-                                    const std::string& self) {
-    return Delay(job, alive, self) == Delay(job, {}, self);
+                                    const std::string& self, std::size_t groups_before) {
+    return Delay(job, alive, self, groups_before) == Delay(job, {}, self, 0);
   }
 };
 
--- a/src/jobs/tests/job_directory_test.cc
+++ b/src/jobs/tests/job_directory_test.cc
@@ -39,10 +39,10 @@
   const std::vector<std::string> alive = {"a#1", "b#1", "c#1"};
   std::set<std::chrono::milliseconds> delays;
   for (const std::string& node : alive) {
-    delays.insert(TakeoverPolicy::Delay("job", alive, node));
+    delays.insert(TakeoverPolicy::Delay("job", alive, node, 0));
   }
   CHECK(delays.size() == alive.size());
-  CHECK(TakeoverPolicy::Delay("job", {}, "a#1") == *delays.begin());
+  CHECK(TakeoverPolicy::Delay("job", {}, "a#1", 0) == *delays.begin());
 }
 
 TEST_CASE("a removal that is older than the claim does not remove it") {
--- a/src/jobs/tests/job_rows_test.cc
+++ b/src/jobs/tests/job_rows_test.cc
@@ -70,9 +70,9 @@
   const std::vector<std::string> alive = {"a#1", "b#1", "c#1"};
   for (int job = 0; job < 50; ++job) {
     const std::string id = "job-" + std::to_string(job);
-    const auto first = TakeoverPolicy::Delay(id, {}, "x");
+    const auto first = TakeoverPolicy::Delay(id, {}, "x", 0);
     const auto leaders = std::count_if(alive.begin(), alive.end(), [&](const std::string& node) {
-      return TakeoverPolicy::Delay(id, alive, node) == first;
+      return TakeoverPolicy::Delay(id, alive, node, 0) == first;
     });
     CHECK(leaders == 1);
   }
--- a/src/peers/internal/node_presence.cc
+++ b/src/peers/internal/node_presence.cc
@@ -18,8 +18,8 @@
 }  // namespace
 
 NodePresence::NodePresence(gateway::Gateway& gateway, rowstore::RowStore& store,
-                           PeerExchange& exchange, std::string address)
-    : gateway(gateway), store(store), exchange(exchange), address(std::move(address)) {}
+                           PeerExchange& exchange, ListedNode self)
+    : gateway(gateway), store(store), exchange(exchange), self(self), groups(std::move(self)) {}
 
 void NodePresence::Note(const std::vector<rowstore::Row>& rows) {
   for (const rowstore::Row& row : rows) {
@@ -35,6 +35,7 @@
       continue;
     }
     this->exchange.AddCandidate(ip);
+    this->groups.Put({row.key.key, value.value("zone", std::string()), ip});
     this->last_seen[incarnation] = net::Now();
     this->newest_incarnation[row.key.key] = incarnation;
   }
@@ -45,7 +46,8 @@
   while (true) {
     if (!announced || owns_jobs()) {
       const nlohmann::json value = {{"start", this->exchange.Incarnation()},
-                                    {"address", this->address}};
+                                    {"address", this->self.address.to_string()},
+                                    {"zone", this->self.zone}};
       rowstore::Transaction transaction;
       transaction.written.push_back({{kTable, "", this->exchange.Name()}, value.dump()});
       rowstore::CommitOutcome outcome =
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -81,7 +81,8 @@
   }
   const std::string bytes = this->NextMessage();
   for (const Address& address : this->candidates) {
-    if (probe || this->peers.contains(address)) {
+    const bool in_group = this->group.empty() || this->group.contains(address);
+    if (in_group && (probe || this->peers.contains(address))) {
       this->SendTo(address, bytes);
     }
   }
--- a/src/peers/node_presence.h
+++ b/src/peers/node_presence.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "peers/peer_exchange.h"
+#include "peers/peer_groups.h"
 #include "rowstore/row_store.h"
 
 namespace lentilhead::peers {
@@ -14,8 +15,12 @@
  public:
   static constexpr char kTable[] = "nodes";
 
+  /// @param self this node.
   NodePresence(gateway::Gateway& gateway, rowstore::RowStore& store, PeerExchange& exchange,
-               std::string address);
+               ListedNode self);
+
+  /// The groups of the nodes that the table lists.
+  [[nodiscard]] const PeerGroups& Groups() const { return this->groups; }
 
   /// Applies rows of the table of nodes.
   void Note(const std::vector<rowstore::Row>& rows);
@@ -33,7 +38,8 @@
   gateway::Gateway& gateway;
   rowstore::RowStore& store;
   PeerExchange& exchange;
-  std::string address;
+  ListedNode self;
+  PeerGroups groups;
   std::map<std::string, net::SteadyTime> last_seen;       ///< by incarnation
   std::map<std::string, std::string> newest_incarnation;  ///< by name of the node
 };
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -26,6 +26,9 @@
   /// Adds an address where a node may run.
   void AddCandidate(const Address& address);
 
+  /// Sets the addresses of the nodes that this node exchanges its state with.
+  void SetGroup(std::set<Address> addresses) { this->group = std::move(addresses); }
+
   /// Records that the state for peers has changed; it is sent when the current
   /// send period ends.
   void NoteChange() { this->changed = true; }
@@ -98,6 +101,7 @@
   net::SteadyTime last_sent;
   net::SteadyTime last_probe;
   std::set<Address> candidates;
+  std::set<Address> group;  ///< empty while the group is not known: then all candidates
   std::map<Address, Peer> peers;
 };
 
