Count the owner of a new claim as alive in other groups; send and run only when due

Cause: a node hears no datagrams of other groups, and the row of a node that owned nothing is old when it takes a job.

Endpoints are read every 400 ms again: with a pause of 1 s they were missed after an outage of the store. The sender of loads and the loop of jobs wait for what is due instead of ticking.

--- a/src/apps/node/node_followers.cc
+++ b/src/apps/node/node_followers.cc
@@ -13,8 +13,7 @@
 constexpr milliseconds kNodePause{900};
 constexpr milliseconds kNodeWait{3000};  // nodes join and leave rarely
 constexpr milliseconds kClaimPause{250};
-// Well below the time in which drains and ended jobs must be known.
-constexpr milliseconds kLargeFleetPause{1000};
+constexpr milliseconds kLargeFleetClaimPause{500};
 
 }  // namespace
 
@@ -42,9 +41,8 @@
           }};
 }
 
-void NodeProgram::SetFollowerPauses(bool has_several_groups) {
-  this->endpoint_follower.SetPause(has_several_groups ? kLargeFleetPause : kEndpointPause);
-  this->claim_follower.SetPause(has_several_groups ? kLargeFleetPause : kClaimPause);
+void NodeProgram::SetClaimPause(bool has_several_groups) {
+  this->claim_follower.SetPause(has_several_groups ? kLargeFleetClaimPause : kClaimPause);
 }
 
 rowstore::TableFollower NodeProgram::MakeNodeFollower() {
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -309,7 +309,7 @@
   const gateway::EndpointGroup group = groups.Select(endpoints);
   this->gateway.registry.SetGroup(group);
   this->peers.SetGroup(groups.OwnGroup(), groups.Count() == 1);
-  this->SetFollowerPauses(groups.Count() > 1);
+  this->SetClaimPause(groups.Count() > 1);
   net::LogLine("group_changed", net::LogImportance::kRoutine)
       .With("groups", groups.Count())
       .With("nodes", groups.OwnGroup().size())
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -46,9 +46,9 @@
   net::asio::awaitable<void> Leave();
   net::asio::awaitable<void> Maintain();
   void UpdateGauges();
-  /// Sets how often the tables are read. In a fleet of several groups each node reads less often,
-  /// as the calls of all nodes add up at the store.
-  void SetFollowerPauses(bool has_several_groups);
+  /// Sets how often the claims are read: less often in a fleet of several groups, as the calls of
+  /// all nodes add up at the store.
+  void SetClaimPause(bool has_several_groups);
   /// Divides nodes and endpoints into groups again if either list has changed.
   void UpdateGroup();
   void Reload(std::string_view cause);
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -15,6 +15,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{40};
+constexpr milliseconds kIdleTick{200};  // while this node owns no job
 // After its start a node takes over no job for this time: messages of live peers may not have
 // arrived yet.
 constexpr milliseconds kPeerDiscoveryTime{1000};
@@ -36,6 +37,7 @@
       peers(peers),
       presence(presence),
       retention(retention),
+      run_timer(gateway.executor),
       started(net::Now()) {}
 
 void JobService::ReplaceClaims(const std::vector<rowstore::Row>& rows, rowstore::Version version) {
@@ -78,6 +80,9 @@
   if (!this->directory.Put(claim)) {
     return;
   }
+  if (claim.state == JobState::kOpen && !claim.owner.empty()) {
+    this->presence.NoteWriter(claim.owner);
+  }
   const auto owned = this->owned.find(claim.job);
   if (owned == this->owned.end()) {
     return;
@@ -110,14 +115,21 @@
   if (claim.owner != this->peers.Incarnation() || this->owned.contains(claim.job)) {
     return;
   }
-  this->owned[claim.job] =
-      std::make_shared<internal::OwnedJob>(claim, ItemTracker(std::move(spec), {}));
+  this->Own(std::make_shared<internal::OwnedJob>(claim, ItemTracker(std::move(spec), {})));
   net::LogLine("job_started")
       .With("job", claim.job)
       .With("items", claim.total)
       .With("claim", claim.version);
 }
 
+void JobService::Own(Job job) {
+  const bool was_idle = this->owned.empty();
+  this->owned[job->claim.job] = std::move(job);
+  if (was_idle) {
+    this->run_timer.cancel();
+  }
+}
+
 void JobService::Drop(const Job& job, std::string_view reason) {
   job->is_dropped = true;
   const auto attempts = job->attempts;
@@ -188,7 +200,7 @@
       for (auto& [item, progress] : stored->progress) {
         job->items.Restore(item, std::move(progress));
       }
-      this->owned[id] = job;
+      this->Own(job);
       net::LogLine("job_taken_over")
           .With("job", id)
           .With("former_owner", former_owner)
@@ -220,7 +232,6 @@
 }
 
 awaitable<void> JobService::Run() {
-  net::asio::steady_timer timer(this->gateway.executor);
   while (true) {
     this->TakeOverOrphans();
     const std::map<std::string, Job> jobs = this->owned;
@@ -242,8 +253,8 @@
     this->YieldToOnline();
     this->RemoveExpiredJobs();
     this->RemoveAbandonedSubmissions();
-    timer.expires_after(kTick);
-    co_await timer.async_wait(net::kAwaitWithError);
+    this->run_timer.expires_after(this->owned.empty() ? kIdleTick : kTick);
+    co_await this->run_timer.async_wait(net::kAwaitWithError);
   }
 }
 
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -74,6 +74,8 @@
  private:
   using Job = std::shared_ptr<internal::OwnedJob>;
 
+  /// Adds a job that this node owns from now on.
+  void Own(Job job);
   void Drop(const Job& job, std::string_view reason);
   void HandleRemovedClaim(const std::string& job);
   bool StartNextItem();
@@ -112,6 +114,7 @@
   std::map<std::string, Job> owned;
   std::map<std::string, bool> takeovers;  ///< jobs whose takeover is in progress
   ItemPace pace;
+  net::asio::steady_timer run_timer;
   net::SteadyTime started;
   net::SteadyTime last_cleanup;
   net::SteadyTime last_submission_cleanup;
--- a/src/peers/internal/node_presence.cc
+++ b/src/peers/internal/node_presence.cc
@@ -75,6 +75,12 @@
   return seen != this->last_seen.end() && net::Now() - seen->second < kPresenceLifetime;
 }
 
+void NodePresence::NoteWriter(const std::string& incarnation) {
+  if (!this->groups.IsInOwnGroup(PeerExchange::NodeOfIncarnation(incarnation))) {
+    this->last_seen[incarnation] = net::Now();
+  }
+}
+
 void NodePresence::RefreshAfterStall() {
   for (auto& [incarnation, time] : this->last_seen) {
     time = net::Now();
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -16,7 +16,8 @@
 constexpr milliseconds kTickPeriod{20};
 // Mean delay of a message: half a tick, transit, and its wait in the receiver's event loop.
 constexpr milliseconds kMeanMessageDelay{12};
-constexpr milliseconds kIdlePeriod{300};     // longest time between two messages of a node
+constexpr milliseconds kIdlePeriod{300};  // longest time between two messages of a node
+constexpr milliseconds kExpiryCheckPeriod{100};
 constexpr milliseconds kProbePeriod{1000};   // for addresses without a live peer
 constexpr milliseconds kPeerLifetime{1500};  // five idle periods, because some datagrams are lost
 // Peers that are messaged in a tick because they must yield: at 50 ticks a second, at most 400
@@ -38,7 +39,8 @@
       port(local.port()),
       own_address(local.address()),
       name(std::move(name)),
-      incarnation(std::move(incarnation)) {
+      incarnation(std::move(incarnation)),
+      send_timer(gateway.executor) {
   this->socket.non_blocking(true);
 }
 
@@ -54,11 +56,34 @@
   return std::max(kTickPeriod, milliseconds(scaled));
 }
 
+net::SteadyTime PeerExchange::NextSend(net::SteadyTime now) const {
+  const net::SteadyTime after_tick = now + kTickPeriod;
+  if (!this->yielding_peers.empty()) {
+    return after_tick;
+  }
+  if (this->changed) {
+    return std::max(after_tick, this->last_sent + this->Period());
+  }
+  return std::min(now + kExpiryCheckPeriod, this->last_sent + kIdlePeriod);
+}
+
+void PeerExchange::WakeSender() {
+  if (this->send_timer.expiry() > this->NextSend(net::Now())) {
+    this->send_timer.cancel();
+  }
+}
+
+void PeerExchange::NoteChange() {
+  this->changed = true;
+  this->WakeSender();
+}
+
 void PeerExchange::NoteLoadChange(const gateway::EndpointState& endpoint) {
   this->changed = true;
   for (std::string& peer : this->gateway.registry.PeersThatMustYield(endpoint, net::Now())) {
     this->yielding_peers.insert(std::move(peer));
   }
+  this->WakeSender();
 }
 
 std::string PeerExchange::NextMessage() {
@@ -107,7 +132,6 @@
 }
 
 awaitable<void> PeerExchange::Send() {
-  net::asio::steady_timer timer(this->gateway.executor);
   while (true) {
     const net::SteadyTime now = net::Now();
     const auto since = now - this->last_sent;
@@ -117,8 +141,8 @@
       this->SendToYieldingPeers();
     }
     this->Expire();
-    timer.expires_after(kTickPeriod);
-    co_await timer.async_wait(net::kAwaitWithError);
+    this->send_timer.expires_at(this->NextSend(net::Now()));
+    co_await this->send_timer.async_wait(net::kAwaitWithError);
   }
 }
 
--- a/src/peers/internal/peer_groups.cc
+++ b/src/peers/internal/peer_groups.cc
@@ -65,6 +65,11 @@
   }
 }
 
+bool PeerGroups::IsInOwnGroup(const std::string& node) const {
+  const auto listed = this->nodes.find(node);
+  return listed != this->nodes.end() && this->own_addresses.contains(listed->second.address);
+}
+
 std::size_t PeerGroups::GroupsBefore(const std::string& key) const {
   const XXH64_hash_t own = Weight(key, this->groups[this->own_group].name);
   return static_cast<std::size_t>(
--- a/src/peers/node_presence.h
+++ b/src/peers/node_presence.h
@@ -28,6 +28,10 @@
   /// Writes the row of this node once, and periodically while `owns_jobs` returns true.
   net::asio::awaitable<void> Announce(std::function<bool()> owns_jobs);
 
+  /// Records that an incarnation of a node has written to the store. Its datagrams do not reach the
+  /// other groups, and its row is renewed only some time after it has taken a job.
+  void NoteWriter(const std::string& incarnation);
+
   /// Tells whether an incarnation of a node is alive according to datagrams or the store.
   [[nodiscard]] bool IsAlive(const std::string& incarnation) const;
 
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -35,7 +35,7 @@
 
   /// Records that the state for peers has changed; it is sent when the current
   /// send period ends.
-  void NoteChange() { this->changed = true; }
+  void NoteChange();
 
   /// Records that this node's load at an endpoint has changed. Peers whose batch work delays online
   /// work there receive the state at the next tick.
@@ -90,6 +90,10 @@
   [[nodiscard]] std::string NextMessage();
   void SendTo(const Address& address, const std::string& bytes);
   [[nodiscard]] std::chrono::milliseconds Period() const;
+  /// Returns when the next message is due.
+  [[nodiscard]] net::SteadyTime NextSend(net::SteadyTime now) const;
+  /// Makes Send() wait for a message that is due earlier than expected.
+  void WakeSender();
 
   gateway::Gateway& gateway;
   ClusterView& view;
@@ -101,6 +105,7 @@
   std::uint64_t sequence = 0;
   std::function<bool()> store_served;
   bool changed = true;
+  net::asio::steady_timer send_timer;
   std::set<std::string> yielding_peers;  ///< peers whose batch work delays online work
   net::SteadyTime last_sent;
   net::SteadyTime last_probe;
--- a/src/peers/peer_groups.h
+++ b/src/peers/peer_groups.h
@@ -42,6 +42,9 @@
     return this->own_addresses;
   }
 
+  /// Tells whether a node is listed and belongs to this node's group.
+  [[nodiscard]] bool IsInOwnGroup(const std::string& node) const;
+
   /// Returns how many groups come before this node's group for a key, such as a job. The order
   /// differs from key to key.
   [[nodiscard]] std::size_t GroupsBefore(const std::string& key) const;
