Give the groups of a zone equal shares of its endpoints

Cause: the bound of a group's share let 25 endpoints fall to four groups as 7, 7, 7 and 4. Change: equal shares first, then the remainder.

--- a/src/peers/internal/peer_groups.cc
+++ b/src/peers/internal/peer_groups.cc
@@ -91,11 +91,15 @@
     ++in_zone[zone_of(*endpoint)];
   }
   std::map<std::string, std::map<std::size_t, std::size_t>> taken;  // by zone and group
+  std::map<std::string, std::size_t> placed;                        // by zone
   std::map<std::string, std::size_t> assigned;
   for (const gateway::EndpointEntry* endpoint : endpoints) {
     const std::string zone = zone_of(*endpoint);
     const std::size_t candidates = zone.empty() ? this->groups.size() : groups_in_zone[zone];
-    const std::size_t limit = DivideRoundingUp(in_zone[zone], candidates);
+    // Each group of a zone has the same number of endpoints, but for the remainder.
+    const std::size_t even_share = in_zone[zone] / candidates;
+    const bool is_remainder = placed[zone]++ >= even_share * candidates;
+    const std::size_t limit = is_remainder ? even_share + 1 : even_share;
     std::size_t best = this->groups.size();
     for (std::size_t index = 0; index < this->groups.size(); ++index) {
       const bool fits =
