Keep nodes of other groups alive over an outage of the store; refuse what a leaving node may not finish

Cause 1: nodes of other groups show their life in the store only. Change 1: time without the table of nodes does not count (NodePresence::NoteStore).

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -27,7 +27,9 @@
 constexpr milliseconds kStallThreshold{700};        // longer than usual scheduling delays
 constexpr milliseconds kStoreSilenceTimeout{1100};  // after it, peers may provide the endpoints
 constexpr milliseconds kListenerDrainTime{3000};    // new connections still arrive in this time
-constexpr milliseconds kExitMargin{1200};           // before the end of the stop's grace period
+// New requests can still arrive when most nodes of a zone leave; few requests last longer.
+constexpr milliseconds kLongestUsualRequest{2500};
+constexpr milliseconds kExitMargin{1200};  // before the end of the stop's grace period
 constexpr milliseconds kLeavePollPeriod{50};
 constexpr int kSettingsCheckTicks = 10;  // maintenance periods between checks of the file
 
@@ -274,6 +276,7 @@
       .With("jobs", this->job_service.OwnedCount());
   this->job_service.HandOver();
   const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
+  this->gateway.refuses_from = std::max(start + kListenerDrainTime, end - kLongestUsualRequest);
   net::asio::steady_timer timer(this->executor);
   while (net::Now() < end) {
     const bool listener_drained = net::Now() - start >= kListenerDrainTime;
@@ -332,6 +335,7 @@
     this->removal_grace.Note(
         this->endpoint_follower.IsReachable() || this->store.IsServingThisNode(),
         !this->peers.PeerServedByStore().is_unspecified(), net::Now());
+    this->presence.NoteStore(this->node_follower.IsReachable(), net::Now());
     this->gateway.pool.Prune(net::Now());
     this->gateway.registry.Prune(net::Now());
     this->gateway.registry.Outliers().UpdateEjections(this->gateway.registry.All(), net::Now());
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,8 @@
   framework::Metrics metrics;
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
   bool stopping = false;          ///< the node is shutting down
+  /// From then on new requests are refused, since the process may exit before they end.
+  net::SteadyTime refuses_from = net::SteadyTime::max();
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -19,6 +19,7 @@
 
 constexpr milliseconds kDefaultDeadline{30000};   // if the caller states no deadline
 constexpr milliseconds kNotReadyRetryAfter{700};  // a starting node loads its state sooner
+constexpr milliseconds kLeavingRetryAfter{100};   // another node takes the caller then
 constexpr milliseconds kWriteTimeout{2000};
 constexpr milliseconds kAcceptRetryDelay{20};  // after an error such as no free descriptor
 
@@ -136,6 +137,15 @@
     co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
     co_return;
   }
+  if (routed.arrival >= this->gateway.refuses_from) {
+    net::LogLine("request_refused").With("request", request.id).With("reason", "leaving");
+    this->gateway.metrics
+        .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", "leaving"}})
+        .Add();
+    net::Response response = MakeRefusalResponse("leaving", kLeavingRetryAfter);
+    co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
+    co_return;
+  }
   const bool on_job =
       this->gateway.routes.HasBatchRoute(request.host) && this->is_job_call(request);
   routed.route = on_job ? nullptr : this->gateway.routes.Match(request.host, request.path);
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -146,7 +146,7 @@
 
 bool JobService::IsOrphan(const Claim& claim) const {
   return claim.state == JobState::kOpen &&
-         (claim.owner.empty() || !this->presence.IsAlive(claim.owner)) &&
+         (claim.owner.empty() || !this->presence.IsAlive(claim.owner, net::Now())) &&
          !this->owned.contains(claim.job);
 }
 
--- a/src/peers/internal/node_presence.cc
+++ b/src/peers/internal/node_presence.cc
@@ -1,5 +1,6 @@
 #include "peers/node_presence.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "net/log_line.h"
@@ -59,7 +60,7 @@
   }
 }
 
-bool NodePresence::IsAlive(const std::string& incarnation) const {
+bool NodePresence::IsAlive(const std::string& incarnation, net::SteadyTime now) const {
   if (this->exchange.IsAlive(incarnation)) {
     return true;
   }
@@ -72,7 +73,18 @@
     return false;
   }
   const auto seen = this->last_seen.find(incarnation);
-  return seen != this->last_seen.end() && net::Now() - seen->second < kPresenceLifetime;
+  if (seen == this->last_seen.end()) {
+    return false;
+  }
+  const net::SteadyTime last_sign =
+      this->groups.IsInOwnGroup(node) ? seen->second : std::max(seen->second, this->last_outage);
+  return now - last_sign < kPresenceLifetime;
+}
+
+void NodePresence::NoteStore(bool reachable, net::SteadyTime now) {
+  if (!reachable) {
+    this->last_outage = now;
+  }
 }
 
 void NodePresence::NoteWriter(const std::string& incarnation) {
--- a/src/peers/internal/peer_groups.cc
+++ b/src/peers/internal/peer_groups.cc
@@ -49,7 +49,8 @@
       this->groups.push_back({zone + "/" + std::to_string(index), zone});
     }
     // Contiguous ranges of the sorted names: a new node moves few others to another group.
-    const auto group_at = [&](std::size_t rank) { return first + rank * count / members.size(); };
+    const std::size_t size = members.size();
+    const auto group_at = [&](std::size_t rank) { return first + rank * count / size; };
     const auto own = std::find_if(members.begin(), members.end(), [&](const ListedNode* node) {
       return node->name == this->self.name;
     });
--- a/src/peers/node_presence.h
+++ b/src/peers/node_presence.h
@@ -33,7 +33,11 @@
   void NoteWriter(const std::string& incarnation);
 
   /// Tells whether an incarnation of a node is alive according to datagrams or the store.
-  [[nodiscard]] bool IsAlive(const std::string& incarnation) const;
+  [[nodiscard]] bool IsAlive(const std::string& incarnation, net::SteadyTime now) const;
+
+  /// Records whether the table of nodes can be followed. While it cannot, nodes of other groups
+  /// give no sign of life, so an outage of the store must not make them look lost.
+  void NoteStore(bool reachable, net::SteadyTime now);
 
   /// Marks all nodes as just seen, so that a stall of this process does not expire them.
   void RefreshAfterStall();
@@ -46,6 +50,7 @@
   PeerGroups groups;
   std::map<std::string, net::SteadyTime> last_seen;       ///< by incarnation
   std::map<std::string, std::string> newest_incarnation;  ///< by name of the node
+  net::SteadyTime last_outage;                            ///< last time without the table of nodes
 };
 
 }  // namespace lentilhead::peers
--- a/src/peers/tests/node_presence_test.cc
+++ b/src/peers/tests/node_presence_test.cc
@@ -39,15 +39,25 @@
 TEST_CASE_FIXTURE(PresenceFixture, "a node of another group that wrote a claim counts as alive") {
   REQUIRE(this->presence.Groups().Count() > 1);
   REQUIRE_FALSE(this->presence.Groups().IsInOwnGroup("b-1"));
-  CHECK_FALSE(this->presence.IsAlive("b-99#7"));
+  CHECK_FALSE(this->presence.IsAlive("b-99#7", net::Now()));
   this->presence.NoteWriter("b-99#7");
-  CHECK(this->presence.IsAlive("b-99#7"));
+  CHECK(this->presence.IsAlive("b-99#7", net::Now()));
 }
 
 TEST_CASE_FIXTURE(PresenceFixture, "an older incarnation that wrote a claim does not") {
   this->presence.NoteWriter("b-1#0");
-  CHECK_FALSE(this->presence.IsAlive("b-1#0"));
-  CHECK(this->presence.IsAlive("b-1#1"));
+  CHECK_FALSE(this->presence.IsAlive("b-1#0", net::Now()));
+  CHECK(this->presence.IsAlive("b-1#1", net::Now()));
+}
+
+TEST_CASE_FIXTURE(PresenceFixture,
+                  "an outage of the store makes no node of another group look lost") {
+  const net::SteadyTime end = net::Now() + std::chrono::seconds(5);
+  CHECK_FALSE(this->presence.IsAlive("b-1#1", end));
+  this->presence.NoteStore(false, end - std::chrono::milliseconds(100));
+  this->presence.NoteStore(true, end);
+  CHECK(this->presence.IsAlive("b-1#1", end));
+  CHECK_FALSE(this->presence.IsAlive("b-1#1", end + std::chrono::seconds(5)));
 }
 
 }  // namespace
