--- a/src/jobs/tests/item_order_test.cc
+++ b/src/jobs/tests/item_order_test.cc
@@ -12,6 +12,14 @@
 
 using std::chrono::milliseconds;
 
+constexpr std::size_t kSlots = 18;  // 9 items a second
+constexpr milliseconds kStep{100};
+constexpr milliseconds kRun{2000};
+constexpr milliseconds kDue{18000};
+constexpr milliseconds kFlood{20000};
+// The last items are due 38 s after the start; the slots end 9 items a second until then.
+constexpr int kMostOnTime = 9 * 38;
+
 TEST_CASE("the earliest due item starts first, and one that is late anyway starts last") {
   const ItemCandidate soon{milliseconds(3000), milliseconds(1000)};
   const ItemCandidate later{milliseconds(9000), milliseconds(1000)};
@@ -48,11 +56,6 @@
 /// due 18 s after their arrival.
 /// @return the number of items that ended on time.
 int CountOnTime(int arrivals_per_second, bool by_due_time_alone) {
-  constexpr int kSlots = 18;  // 9 items a second
-  constexpr milliseconds kStep{100};
-  constexpr milliseconds kRun{2000};
-  constexpr milliseconds kDue{18000};
-  constexpr milliseconds kFlood{20000};
   struct Item {
     milliseconds due;
     milliseconds left{kRun};
@@ -73,7 +76,7 @@
       }
       return ItemOrder::StartsBefore(candidate(left), candidate(right));
     });
-    for (std::size_t slot = 0; slot < std::min<std::size_t>(kSlots, items.size()); ++slot) {
+    for (std::size_t slot = 0; slot < std::min(kSlots, items.size()); ++slot) {
       items[slot].running = true;
       items[slot].left -= kStep;
     }
@@ -87,8 +90,6 @@
 }
 
 TEST_CASE("in a flood beyond capacity the slots end on time what they can") {
-  // The last items are due 38 s after the start; 18 slots end 9 items a second until then.
-  constexpr int kMostOnTime = 9 * 38;
   CHECK(CountOnTime(30, false) >= kMostOnTime * 9 / 10);
   CHECK(CountOnTime(30, true) < kMostOnTime * 8 / 10);
 }
--- a/src/peers/tests/peer_groups_test.cc
+++ b/src/peers/tests/peer_groups_test.cc
@@ -29,6 +29,7 @@
 /// Fleet of nodes in six zones, as each of its nodes sees it.
 std::vector<PeerGroups> FleetOf(int nodes) {
   std::vector<PeerGroups> fleet;
+  fleet.reserve(static_cast<std::size_t>(nodes));
   for (int self = 0; self < nodes; ++self) {
     PeerGroups& groups = fleet.emplace_back(NodeAt(self));
     for (int other = 0; other < nodes; ++other) {
@@ -40,6 +41,7 @@
 
 std::vector<gateway::EndpointEntry> EndpointsOf(int models, int services) {
   std::vector<gateway::EndpointEntry> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(models + services));
   for (int number = 0; number < models; ++number) {
     endpoints.push_back(EndpointAt("model", number));
   }
