--- a/src/peers/tests/peer_groups_test.cc
+++ b/src/peers/tests/peer_groups_test.cc
@@ -41,7 +41,7 @@
 
 std::vector<gateway::EndpointEntry> EndpointsOf(int models, int services) {
   std::vector<gateway::EndpointEntry> endpoints;
-  endpoints.reserve(static_cast<std::size_t>(models + services));
+  endpoints.reserve(static_cast<std::size_t>(models) + static_cast<std::size_t>(services));
   for (int number = 0; number < models; ++number) {
     endpoints.push_back(EndpointAt("model", number));
   }
