Do not run a job whose claim changed while it was taken over

A node that takes a job over reads its items and results after its claim; a claim that ends the job in that time was applied to the directory only, and the job was added as open. Change: JobService::Own adds a job only with the newest claim known (JobDirectory::IsNewest, with a test).

--- a/src/jobs/internal/job_directory.cc
+++ b/src/jobs/internal/job_directory.cc
@@ -55,6 +55,11 @@
   return removed;
 }
 
+bool JobDirectory::IsNewest(const Claim& claim) const {
+  const Claim* known = this->Find(claim.job);
+  return known != nullptr && known->version <= claim.version;
+}
+
 const Claim* JobDirectory::Find(const std::string& job) const {
   const auto found = this->entries.find(job);
   return found == this->entries.end() ? nullptr : &found->second.claim;
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -115,19 +115,30 @@
   if (claim.owner != this->peers.Incarnation() || this->owned.contains(claim.job)) {
     return;
   }
-  this->Own(std::make_shared<internal::OwnedJob>(claim, ItemTracker(std::move(spec), {})));
+  auto job = std::make_shared<internal::OwnedJob>(claim, ItemTracker(std::move(spec), {}));
+  if (!this->Own(std::move(job))) {
+    return;
+  }
   net::LogLine("job_started")
       .With("job", claim.job)
       .With("items", claim.total)
       .With("claim", claim.version);
 }
 
-void JobService::Own(Job job) {
+bool JobService::Own(Job job) {
+  if (!this->directory.IsNewest(job->claim)) {
+    net::LogLine("job_dropped")
+        .With("job", job->claim.job)
+        .With("reason", "changed_meanwhile")
+        .With("claim", job->claim.version);
+    return false;
+  }
   const bool was_idle = this->owned.empty();
   this->owned[job->claim.job] = std::move(job);
   if (was_idle) {
     this->run_timer.cancel();
   }
+  return true;
 }
 
 void JobService::Drop(const Job& job, std::string_view reason) {
@@ -200,13 +211,14 @@
       for (auto& [item, progress] : stored->progress) {
         job->items.Restore(item, std::move(progress));
       }
-      this->Own(job);
-      net::LogLine("job_taken_over")
-          .With("job", id)
-          .With("former_owner", former_owner)
-          .With("listed", committed)
-          .With("items", taken.total)
-          .With("claim", taken.version);
+      if (this->Own(job)) {
+        net::LogLine("job_taken_over")
+            .With("job", id)
+            .With("former_owner", former_owner)
+            .With("listed", committed)
+            .With("items", taken.total)
+            .With("claim", taken.version);
+      }
     }
   } else if (current != nullptr) {
     this->UpdateClaim(*current);
--- a/src/jobs/job_directory.h
+++ b/src/jobs/job_directory.h
@@ -36,6 +36,9 @@
   std::vector<std::string> RetainOnly(const std::set<std::string>& snapshot_jobs,
                                       rowstore::Version version);
 
+  /// Tells whether a claim is the newest one known of its job.
+  [[nodiscard]] bool IsNewest(const Claim& claim) const;
+
   /// Returns the claim of a job, or null.
   [[nodiscard]] const Claim* Find(const std::string& job) const;
 
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -74,8 +74,9 @@
  private:
   using Job = std::shared_ptr<internal::OwnedJob>;
 
-  /// Adds a job that this node owns from now on.
-  void Own(Job job);
+  /// Adds a job that this node owns from now on, unless its claim has changed since it was read.
+  /// @return whether the job was added.
+  [[nodiscard]] bool Own(Job job);
   void Drop(const Job& job, std::string_view reason);
   void HandleRemovedClaim(const std::string& job);
   bool StartNextItem();
--- a/src/jobs/tests/job_directory_test.cc
+++ b/src/jobs/tests/job_directory_test.cc
@@ -45,6 +45,21 @@
   CHECK(TakeoverPolicy::Delay("job", {}, "a#1", 0) == *delays.begin());
 }
 
+TEST_CASE("a claim that was replaced or removed while a job was read is not the newest") {
+  JobDirectory directory;
+  Claim taken;
+  taken.job = "a";
+  taken.version = 20;
+  CHECK_FALSE(directory.IsNewest(taken));
+  directory.Put(taken);
+  CHECK(directory.IsNewest(taken));
+  Claim ended = taken;
+  ended.state = JobState::kEnded;
+  ended.version = 21;
+  directory.Put(ended);
+  CHECK_FALSE(directory.IsNewest(taken));
+}
+
 TEST_CASE("a removal that is older than the claim does not remove it") {
   JobDirectory directory;
   Claim claim;
