Use one piece of code for joined reads, decaying counts and the sum of waiting tokens

Cause: the limit on waiting tokens wrote again what stood elsewhere: the joining of rows of several reads (now ReadRows::Append, for RowStore, TableFollower and JobStore), a decaying count (TokenDrain uses gateway::DecayingCount, which takes its half-life and a weight), the check before a creation (Submission::MayBeAccepted) and two loops over the claims. A second Put of a finished claim is gone. Behaviour is the same: unit tests of jobs, peers, gateway and rowstore pass, and the node's cases of the limit and of lost nodes.

--- a/src/jobs/internal/job_store.cc
+++ b/src/jobs/internal/job_store.cc
@@ -124,8 +124,7 @@
     if (read == nullptr) {
       co_return outcome;
     }
-    all.version = all.version == 0 ? read->version : std::min(all.version, read->version);
-    std::move(read->rows.begin(), read->rows.end(), std::back_inserter(all.rows));
+    all.Append(std::move(*read));
   }
   co_return all;
 }
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -76,7 +76,6 @@
         .With("items", job->items.Size())
         .With("claim", claim.version);
     if (is_last) {
-      this->directory.Put(job->claim);
       this->Drop(job, "done");
     }
   }
--- a/src/jobs/internal/submission.cc
+++ b/src/jobs/internal/submission.cc
@@ -10,14 +10,18 @@
 
 Submission::Submission(Claim claim, std::int64_t limit, const JobDirectory& directory)
     : claim(std::move(claim)), limit(limit), directory(directory) {
-  const std::int64_t waiting = WaitingTokenLimit::Waiting(this->directory, this->claim.route);
-  if (this->directory.Find(this->claim.job) != nullptr || this->ExcessOver(waiting) == 0) {
+  if (this->MayBeAccepted()) {
     this->Create();
   } else {
     this->step = RefreshClaims{};
   }
 }
 
+bool Submission::MayBeAccepted() const {
+  return this->directory.Find(this->claim.job) != nullptr ||
+         this->ExcessOver(WaitingTokenLimit::Waiting(this->directory, this->claim.route)) == 0;
+}
+
 std::int64_t Submission::ExcessOver(std::int64_t waiting) const {
   return WaitingTokenLimit::Excess(waiting, this->claim.waiting_tokens, this->limit);
 }
@@ -58,19 +62,12 @@
 void Submission::OnRefreshed(bool current) {
   if (!current) {
     this->step = this->is_written ? StoreError::kUnknown : StoreError::kNotApplied;
-  } else if (this->submitted.version == 0) {
-    this->CheckBeforeCreation();
-  } else {
+  } else if (this->submitted.version != 0) {
     this->DecideSubmitted();
-  }
-}
-
-void Submission::CheckBeforeCreation() {
-  const std::int64_t waiting = WaitingTokenLimit::Waiting(this->directory, this->claim.route);
-  if (this->directory.Find(this->claim.job) != nullptr || this->ExcessOver(waiting) == 0) {
+  } else if (this->MayBeAccepted()) {
     this->Create();
   } else {
-    this->Refuse(waiting);
+    this->Refuse(WaitingTokenLimit::Waiting(this->directory, this->claim.route));
   }
 }
 
--- a/src/jobs/internal/token_drain.cc
+++ b/src/jobs/internal/token_drain.cc
@@ -1,7 +1,6 @@
 #include "jobs/token_drain.h"
 
 #include <algorithm>
-#include <cmath>
 #include <numbers>
 
 namespace lentilhead::jobs {
@@ -10,7 +9,6 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::chrono::duration<double> kHalfLife{4.0};
 constexpr milliseconds kMinRetryAfter{400};
 constexpr milliseconds kMaxRetryAfter{15000};
 constexpr double kSpread =
@@ -19,14 +17,12 @@
 }  // namespace
 
 void TokenDrain::Add(std::int64_t tokens, net::SteadyTime now) {
-  const std::chrono::duration<double> age = now - this->last;
-  this->decayed = this->decayed * std::exp2(-age / kHalfLife) + static_cast<double>(tokens);
-  this->last = now;
+  this->completed.Add(now, static_cast<double>(tokens));
 }
 
 double TokenDrain::TokensPerSecond(net::SteadyTime now) const {
-  const std::chrono::duration<double> age = now - this->last;
-  return this->decayed * std::exp2(-age / kHalfLife) * std::numbers::ln2 / kHalfLife.count();
+  return this->completed.At(now) * std::numbers::ln2 /
+         std::chrono::duration<double>(kHalfLife).count();
 }
 
 milliseconds TokenDrain::RetryAfter(std::int64_t excess, double draw, net::SteadyTime now) const {
--- a/src/jobs/internal/waiting_token_limit.cc
+++ b/src/jobs/internal/waiting_token_limit.cc
@@ -4,26 +4,32 @@
 
 namespace lentilhead::jobs {
 
-std::int64_t WaitingTokenLimit::Waiting(const JobDirectory& directory, const std::string& route) {
+namespace {
+
+/// Sums the tokens of the accepted jobs of a route, and of those submitted before a version.
+std::int64_t SumBefore(const JobDirectory& directory, const std::string& route,
+                       rowstore::Version version) {
   std::int64_t tokens = 0;
   for (const auto& [job, entry] : directory.Entries()) {
-    if (entry.claim.state == JobState::kOpen && entry.claim.route == route) {
-      tokens += entry.claim.waiting_tokens;
+    const Claim& claim = entry.claim;
+    const bool counts = claim.state == JobState::kOpen ||
+                        (claim.state == JobState::kSubmitted && claim.version < version);
+    if (counts && claim.route == route) {
+      tokens += claim.waiting_tokens;
     }
   }
   return tokens;
 }
 
+}  // namespace
+
+std::int64_t WaitingTokenLimit::Waiting(const JobDirectory& directory, const std::string& route) {
+  return SumBefore(directory, route, 0);
+}
+
 std::int64_t WaitingTokenLimit::WaitingBefore(const JobDirectory& directory,
                                               const Claim& submitted) {
-  std::int64_t tokens = Waiting(directory, submitted.route);
-  for (const auto& [job, entry] : directory.Entries()) {
-    if (entry.claim.state == JobState::kSubmitted && entry.claim.route == submitted.route &&
-        entry.claim.version < submitted.version) {
-      tokens += entry.claim.waiting_tokens;
-    }
-  }
-  return tokens;
+  return SumBefore(directory, submitted.route, submitted.version);
 }
 
 std::int64_t WaitingTokenLimit::Excess(std::int64_t waiting, std::int64_t tokens,
--- a/src/jobs/submission.h
+++ b/src/jobs/submission.h
@@ -42,7 +42,8 @@
  private:
   void OnStored(const Claim& stored, bool is_first);
   void Create();
-  void CheckBeforeCreation();
+  /// Tells whether the job is known, or fits by the claims that this node knows.
+  [[nodiscard]] bool MayBeAccepted() const;
   void DecideSubmitted();
   void Refuse(std::int64_t waiting);
   [[nodiscard]] std::int64_t ExcessOver(std::int64_t waiting) const;
--- a/src/jobs/token_drain.h
+++ b/src/jobs/token_drain.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 
+#include "gateway/types/decaying_count.h"
 #include "net/http_types.h"
 
 namespace lentilhead::jobs {
@@ -24,8 +25,9 @@
                                                      net::SteadyTime now) const;
 
  private:
-  double decayed = 0;
-  net::SteadyTime last;
+  static constexpr std::chrono::milliseconds kHalfLife{4000};
+
+  gateway::DecayingCount completed{kHalfLife};
 };
 
 }  // namespace lentilhead::jobs
--- a/src/rowstore/row_store.cc
+++ b/src/rowstore/row_store.cc
@@ -162,9 +162,9 @@
     if (part == nullptr) {
       co_return outcome;
     }
-    all.version = all.version == 0 ? part->version : std::min(all.version, part->version);
-    std::move(part->rows.begin(), part->rows.end(), std::back_inserter(all.rows));
-    if (!part->truncated || part->rows.empty() || range.first_page_only) {
+    const bool is_last = !part->truncated || part->rows.empty() || range.first_page_only;
+    all.Append(std::move(*part));
+    if (is_last) {
       co_return all;
     }
     range.from = all.rows.back().key.key + '\x01';
--- a/src/rowstore/table_follower.cc
+++ b/src/rowstore/table_follower.cc
@@ -50,8 +50,7 @@
       this->NoteOutcome(false, NameOf(std::get<StoreError>(outcome)));
       co_return false;
     }
-    all.version = all.version == 0 ? read->version : std::min(all.version, read->version);
-    std::move(read->rows.begin(), read->rows.end(), std::back_inserter(all.rows));
+    all.Append(std::move(*read));
   }
   this->NoteOutcome(true, "read");
   this->version = all.version;
