--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -298,28 +298,6 @@
   this->presence.RefreshAfterStall();
 }
 
-void NodeProgram::UpdateGroup() {
-  const peers::PeerGroups& groups = this->presence.Groups();
-  const std::pair current(groups.Version(), this->gateway.registry.ListVersion());
-  if (current == this->group_versions) {
-    return;
-  }
-  this->group_versions = current;
-  std::vector<gateway::EndpointEntry> endpoints;
-  for (const auto& [id, endpoint] : this->gateway.registry.All()) {
-    endpoints.push_back(endpoint->entry);
-  }
-  const gateway::EndpointGroup group = groups.Select(endpoints);
-  this->gateway.registry.SetGroup(group);
-  this->peers.SetGroup(groups.OwnGroup(), groups.Count() == 1);
-  this->SetClaimPause(groups.Count() > 1);
-  net::LogLine("group_changed", net::LogImportance::kRoutine)
-      .With("groups", groups.Count())
-      .With("nodes", groups.OwnGroup().size())
-      .With("endpoints", group.shared_by.size())
-      .With("of", endpoints.size());
-}
-
 awaitable<void> NodeProgram::Maintain() {
   net::asio::steady_timer timer(this->executor);
   std::chrono::nanoseconds last = BootTime();
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -39,6 +39,11 @@
   net::asio::awaitable<void> Serve(std::shared_ptr<CallerSession> session);
   net::asio::awaitable<void> Answer(CallerSession& session, net::Request message);
   net::asio::awaitable<void> AnswerProblem(CallerSession& session, ReadProblem problem);
+  /// Refuses a request before its route is known.
+  /// @param retry_after delay after which the caller may retry.
+  net::asio::awaitable<void> RefuseUnrouted(CallerSession& session, const InferenceRequest& request,
+                                            const char* reason,
+                                            std::chrono::milliseconds retry_after);
   net::asio::awaitable<void> Dispatch(CallerSession& session, CancelScope& cancel,
                                       InferenceRequest request);
 
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -99,7 +99,7 @@
   enum class Scope { kGroup, kOthers };
 
   [[nodiscard]] Choice ChooseAmong(const ChoiceRequest& request, Scope scope,
-                                   net::SteadyTime now) const;
+                                   double median_latency_ms, net::SteadyTime now) const;
   [[nodiscard]] double UnseenRequests(const ChoiceRequest& request, Scope scope,
                                       int shared_by) const;
   [[nodiscard]] double MedianUnitLatency(const std::string& service) const;
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -126,24 +126,28 @@
   session.StopWatch();
 }
 
+awaitable<void> CallerServer::RefuseUnrouted(CallerSession& session,
+                                             const InferenceRequest& request, const char* reason,
+                                             milliseconds retry_after) {
+  net::LogLine("request_refused").With("request", request.id).With("reason", reason);
+  this->gateway.metrics
+      .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", reason}})
+      .Add();
+  net::Response response = MakeRefusalResponse(reason, retry_after);
+  co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
+}
+
 awaitable<void> CallerServer::Dispatch(CallerSession& session, CancelScope& cancel,
                                        InferenceRequest request) {
   RoutedRequest routed;
   routed.arrival = net::Now();
   routed.config = this->gateway.routes.Config();
   if (!routed.config || !this->gateway.endpoints_loaded) {
-    net::LogLine("request_refused").With("request", request.id).With("reason", "not_ready");
-    net::Response response = MakeRefusalResponse("not_ready", kNotReadyRetryAfter);
-    co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
+    co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
   if (routed.arrival >= this->gateway.refuses_from) {
-    net::LogLine("request_refused").With("request", request.id).With("reason", "leaving");
-    this->gateway.metrics
-        .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", "leaving"}})
-        .Add();
-    net::Response response = MakeRefusalResponse("leaving", kLeavingRetryAfter);
-    co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
+    co_await this->RefuseUnrouted(session, request, "leaving", kLeavingRetryAfter);
     co_return;
   }
   const bool on_job =
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -181,12 +181,13 @@
 }
 
 Choice EndpointRegistry::Choose(const ChoiceRequest& request, net::SteadyTime now) const {
-  Choice choice = this->ChooseAmong(request, Scope::kGroup, now);
+  const double median_latency_ms = this->MedianUnitLatency(request.service);
+  Choice choice = this->ChooseAmong(request, Scope::kGroup, median_latency_ms, now);
   const bool may_leave_group = !this->has_whole_group && request.work == WorkClass::kOnline;
   if (choice.endpoint || !may_leave_group) {
     return choice;
   }
-  Choice other = this->ChooseAmong(request, Scope::kOthers, now);
+  Choice other = this->ChooseAmong(request, Scope::kOthers, median_latency_ms, now);
   return other.endpoint || choice.reason == NoChoice::kNoUsable ? other : choice;
 }
 
@@ -200,8 +201,7 @@
 }
 
 Choice EndpointRegistry::ChooseAmong(const ChoiceRequest& request, Scope scope,
-                                     net::SteadyTime now) const {
-  const double median_latency_ms = this->MedianUnitLatency(request.service);
+                                     double median_latency_ms, net::SteadyTime now) const {
   NoChoice reason = NoChoice::kNoUsable;
   Health best_health = Health::kUnreachable;
   bool any_reachable = false;
