Hold the times of the large fleet's play in std::chrono types

Cause: the play of 300 nodes took its period and times as whole milliseconds. Change: std::chrono in its signatures and members; no figure or bound changes.

--- a/src/peers/tests/large_fleet_test.cc
+++ b/src/peers/tests/large_fleet_test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <chrono>
 #include <random>
 #include <vector>
 
@@ -10,15 +11,19 @@
 namespace lentilhead::peers {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int kNodes = 300;
 constexpr int kEndpoints = 150;
 constexpr int kZones = 6;
 constexpr int kSlots = 7;
 // Requests that an endpoint queues beyond its slots before it turns others away.
 constexpr int kEndpointQueue = 2;
-constexpr int kRunMs = 240;
-constexpr int kPlayMs = 12000;
-constexpr int kStepMs = 5;
+constexpr milliseconds kRun{240};
+constexpr milliseconds kPlay{12000};
+constexpr milliseconds kStep{5};
+constexpr milliseconds kBurstStart{4000};
+constexpr milliseconds kBurstEnd{6000};
 constexpr double kRequestsPerSecond = 900;
 constexpr double kBurstFactor = 3;
 
@@ -35,9 +40,9 @@
 /// group as of their last message.
 class FleetPlay {
  public:
-  /// @param divided whether the fleet is divided into groups. @param period_ms time between two
-  ///   messages of a node.
-  FleetPlay(bool divided, int period_ms) : period_ms(period_ms), random(20261204) {
+  /// @param divided whether the fleet is divided into groups.
+  /// @param period time between two messages of a node.
+  FleetPlay(bool divided, milliseconds period) : period(period), random(20261204) {
     std::vector<gateway::EndpointEntry> entries(kEndpoints);
     for (int number = 0; number < kEndpoints; ++number) {
       entries[static_cast<std::size_t>(number)].id = "i-" + std::to_string(1000 + number);
@@ -50,11 +55,12 @@
   }
 
   FleetFigures Play() {
-    for (int now = 0; now < kPlayMs; now += kStepMs) {
+    for (milliseconds now{0}; now < kPlay; now += kStep) {
       this->EndRequests(now);
       this->SendMessages(now);
-      const double rate = kRequestsPerSecond * (now >= 4000 && now < 6000 ? kBurstFactor : 1);
-      std::poisson_distribution<int> arrivals(rate * kStepMs / 1000);
+      const double rate =
+          kRequestsPerSecond * (now >= kBurstStart && now < kBurstEnd ? kBurstFactor : 1);
+      std::poisson_distribution<int> arrivals(rate * Seconds(kStep));
       for (int count = arrivals(this->random); count > 0; --count) {
         this->Send(this->random() % kNodes, now, rate);
       }
@@ -68,7 +74,7 @@
         static_cast<double>(*std::max_element(this->arrivals.begin(), this->arrivals.end())) *
         kEndpoints / static_cast<double>(all);
     this->figures.messages_per_second =
-        static_cast<double>(this->messages) / (kNodes * kPlayMs / 1000.0);
+        static_cast<double>(this->messages) / (kNodes * Seconds(kPlay));
     return this->figures;
   }
 
@@ -85,9 +91,11 @@
   struct Request {
     std::size_t node;
     std::size_t endpoint;
-    int end_ms;
+    milliseconds end;
   };
 
+  static double Seconds(milliseconds time) { return std::chrono::duration<double>(time).count(); }
+
   static ListedNode ListedNodeAt(int number) {
     const int zone = number % kZones;
     const std::string address =
@@ -116,9 +124,9 @@
     }
   }
 
-  void EndRequests(int now) {
+  void EndRequests(milliseconds now) {
     std::erase_if(this->requests, [&](const Request& request) {
-      if (request.end_ms > now) {
+      if (request.end > now) {
         return false;
       }
       --this->running[request.endpoint];
@@ -127,17 +135,17 @@
     });
   }
 
-  void SendMessages(int now) {
+  void SendMessages(milliseconds now) {
     for (std::size_t index = 0; index < this->nodes.size(); ++index) {
-      const int offset = static_cast<int>(index) * kStepMs;
-      if ((now + offset) % this->period_ms < kStepMs) {
+      const milliseconds offset = static_cast<int>(index) * kStep;
+      if ((now + offset) % this->period < kStep) {
         this->nodes[index].told = this->nodes[index].own;
         this->messages += this->nodes[index].peers.size();
       }
     }
   }
 
-  void Send(std::size_t index, int now, double rate) {
+  void Send(std::size_t index, milliseconds now, double rate) {
     Node& node = this->nodes[index];
     std::vector<std::size_t> usable;
     std::vector<gateway::PlacementCandidate> candidates;
@@ -155,7 +163,7 @@
       return;  // refused at the node
     }
     const double share = static_cast<double>(node.peers.size()) / kNodes;
-    const double unseen = rate * share * this->period_ms / 2000;
+    const double unseen = rate * share * Seconds(this->period) / 2;
     const double draw = std::uniform_real_distribution<double>(0, 1)(this->random);
     const std::size_t endpoint = usable[gateway::Placement::Choose(candidates, unseen, draw)];
     ++this->arrivals[endpoint];
@@ -165,10 +173,10 @@
     }
     ++this->running[endpoint];
     ++node.own[endpoint];
-    this->requests.push_back({index, endpoint, now + kRunMs});
+    this->requests.push_back({index, endpoint, now + kRun});
   }
 
-  int period_ms;
+  milliseconds period;
   std::mt19937 random;
   std::vector<Node> nodes;
   std::vector<Request> requests;
@@ -179,7 +187,7 @@
 };
 
 TEST_CASE("groups of a fleet of 300 nodes need few messages and turn hardly any request away") {
-  const FleetFigures divided = FleetPlay(true, 100).Play();
+  const FleetFigures divided = FleetPlay(true, milliseconds(100)).Play();
   MESSAGE("arrivals ", divided.arrivals, " turned away ", divided.turned_away, " busiest ",
           divided.busiest_over_mean, " messages ", divided.messages_per_second);
   CHECK(divided.turned_away < divided.arrivals * 2 / 100);
@@ -188,8 +196,8 @@
 }
 
 TEST_CASE("all with all at the same fleet sends more and knows less") {
-  const FleetFigures divided = FleetPlay(true, 100).Play();
-  const FleetFigures whole = FleetPlay(false, 740).Play();
+  const FleetFigures divided = FleetPlay(true, milliseconds(100)).Play();
+  const FleetFigures whole = FleetPlay(false, milliseconds(740)).Play();
   CHECK(whole.messages_per_second > 2 * divided.messages_per_second);
   CHECK(whole.turned_away >= divided.turned_away);
 }
