Log how a streamed answer was framed and what followed its last event

Change: request_end and attempt_failed state framing, last_event and unfinished_bytes for streams. Before: outcome=served reason=stream sent=1 for a broken answer and for a whole one alike.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -136,7 +136,7 @@
     if (error) {
       co_return this->FailureOf(error);
     }
-    AnswerHead answer{this->parser->get().base(), {}};
+    AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
     answer.decoded = platform::DecodeAnswer(answer.head);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
@@ -151,6 +151,13 @@
   co_return AttemptFailure::kUnknown;
 }
 
+AnswerFraming EndpointAttempt::Framing() const {
+  if (this->parser->chunked()) {
+    return AnswerFraming::kChunks;
+  }
+  return this->parser->need_eof() ? AnswerFraming::kConnection : AnswerFraming::kLength;
+}
+
 void EndpointAttempt::Finish() {
   const bool reusable = this->parser->keep_alive() && !this->parser->need_eof() &&
                         this->connection->is_written && this->connection->buffer.size() == 0;
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -7,6 +7,7 @@
 
 #include "gateway/cancel_scope.h"
 #include "gateway/internal/connection_pool.h"
+#include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
 #include "gateway/types/endpoint_answer.h"
 
@@ -16,6 +17,7 @@
 struct AnswerHead {
   net::http::response_header<> head;
   EndpointAnswer decoded;
+  AnswerFraming framing = AnswerFraming::kLength;
 };
 
 /// State of an answer's body after a read.
@@ -78,6 +80,7 @@
                                               net::SteadyTime until);
   [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error) const;
   net::asio::awaitable<bool> DiscardAnswer(net::SteadyTime until);
+  [[nodiscard]] AnswerFraming Framing() const;
   void Finish();
 
   net::asio::any_io_executor executor;
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -141,6 +141,7 @@
                                                     const EndpointLease& lease, AnswerHead answer) {
   EventSplitter splitter;
   net::SteadyTime last_arrival;
+  this->framing = answer.framing;
   while (true) {
     const net::SteadyTime now = net::Now();
     const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
@@ -154,6 +155,7 @@
       co_return Step::kDone;
     }
     std::vector<StreamEvent> events = splitter.Add(piece.bytes);
+    this->unfinished_bytes = splitter.Rest().size();
     if (!events.empty()) {
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -56,6 +56,11 @@
       .With("maybe_run", this->record.maybe_run)
       .With("ms", net::ToMilliseconds(now - this->routed.arrival).count())
       .With("left_ms", net::ToMilliseconds(this->routed.deadline - now).count());
+  if (this->framing) {
+    line.With("framing", NameOf(*this->framing))
+        .With("last_event", this->last_event.value_or(-1))
+        .With("unfinished_bytes", this->unfinished_bytes);
+  }
   if (this->first_event != net::SteadyTime{}) {
     line.With("first_event_ms",
               net::ToMilliseconds(this->first_event - this->routed.arrival).count());
@@ -154,6 +159,8 @@
 awaitable<OnlineRun::Step> OnlineRun::TryEndpoint(EndpointLease lease) {
   const net::SteadyTime now = net::Now();
   const Route& route = *this->routed.route;
+  this->framing.reset();
+  this->unfinished_bytes = 0;
   this->last_endpoint = lease.Endpoint().entry.id;
   this->tried.push_back(this->last_endpoint);
   const bool may_retry = this->routed.IsRepeatable() && this->record.sent + 1 < route.max_attempts;
@@ -218,6 +225,8 @@
       .With("cause", cause)
       .With("sent", this->record.sent)
       .With("last_event", this->last_event.value_or(-1))
+      .With("framing", this->framing ? NameOf(*this->framing) : std::string_view("none"))
+      .With("unfinished_bytes", this->unfinished_bytes)
       .With("suspect_failures", lease.Endpoint().failures_in_row);
   if (net::Now() >= this->routed.deadline) {
     co_await this->EndAtDeadline();
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -66,6 +66,8 @@
   std::vector<std::string> tried;
   std::string last_endpoint;
   bool stream_begun = false;
+  std::optional<AnswerFraming> framing;  ///< of the last streamed answer
+  std::size_t unfinished_bytes = 0;      ///< of that answer, after its last complete event
   std::optional<std::int64_t> last_event;
   net::SteadyTime first_event;
 };
