Take a stream that ends inside an event for broken off

Cause: EndpointAttempt reports the end of a body when the HTTP parser does. Where an answer has neither length nor chunks that is the end of the connection, which a broken answer has as well. OnlineRun::ForwardStream took it for the end of the stream, passed on the bytes of the unfinished event and ended its own chunked answer. Class: whether an answer is whole was decided by each reader from what the transport says; the reader of batch items looked at the unfinished event, the one of callers' streams did not. Change: AnswerStream is the one reader of streamed answers, for callers' streams and batch items, and decides whether a stream is complete. Nothing of an unfinished event can be passed on any more. Such an attempt has failed: it is resumed, or the caller's connection is closed. An answer on a stream route that states another type than an event stream is passed on as a plain answer. Before: broken_answers 2 of 3 cases failed ("id: 3\ndat" at the end of a complete answer).

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "gateway/internal/answer_stream.h"
 #include "gateway/internal/answers.h"
 #include "gateway/internal/online_run.h"
 #include "platform/request_codec.h"
@@ -123,11 +124,8 @@
   co_return co_await this->session.SendChunk(std::move(bytes), this->WriteLimit());
 }
 
-awaitable<OnlineRun::Step> OnlineRun::EndStream(const std::string& rest, const AnswerHead& answer) {
+awaitable<OnlineRun::Step> OnlineRun::EndStream(const AnswerHead& answer) {
   bool sent = co_await this->BeginStream(answer);
-  if (sent && !rest.empty()) {
-    sent = co_await this->session.SendChunk(rest, this->WriteLimit());
-  }
   if (sent) {
     sent = co_await this->session.EndChunks(this->WriteLimit());
   }
@@ -139,7 +137,7 @@
 
 awaitable<OnlineRun::Step> OnlineRun::ForwardStream(EndpointAttempt& attempt,
                                                     const EndpointLease& lease, AnswerHead answer) {
-  EventSplitter splitter;
+  AnswerStream stream(attempt);
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
   while (true) {
@@ -150,20 +148,19 @@
                                                               this->routed.deadline, may_retry)
                            : AttemptPolicy::AnswerDeadline(*this->routed.route, now,
                                                            this->routed.deadline, may_retry);
-    BodyPiece piece = co_await attempt.ReadPiece(until);
+    StreamPart part = co_await stream.Read(until);
+    this->unfinished_bytes = stream.UnfinishedBytes();
     if (this->cancel.IsCancelled()) {
       co_return Step::kDone;
     }
-    std::vector<StreamEvent> events = splitter.Add(piece.bytes);
-    this->unfinished_bytes = splitter.Rest().size();
-    if (!events.empty()) {
+    if (!part.events.empty()) {
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
         EndpointFeedback::RecordUnitLatency(
-            lease.Endpoint(), (arrival - last_arrival) / static_cast<int>(events.size()));
+            lease.Endpoint(), (arrival - last_arrival) / static_cast<int>(part.events.size()));
       }
       last_arrival = arrival;
-      const bool sent = co_await this->ForwardEvents(std::move(events), answer);
+      const bool sent = co_await this->ForwardEvents(std::move(part.events), answer);
       if (!sent) {
         this->Count("gone", "caller_closed");
         this->LogOutcome("gone", "caller_closed", 0);
@@ -171,11 +168,11 @@
         co_return Step::kDone;
       }
     }
-    if (piece.state == BodyState::kEnd) {
-      co_return co_await this->EndStream(splitter.Rest(), answer);
+    if (part.state == BodyState::kEnd) {
+      co_return co_await this->EndStream(answer);
     }
-    if (piece.state != BodyState::kMore) {
-      const bool silent = piece.state == BodyState::kTimedOut;
+    if (part.state != BodyState::kMore) {
+      const bool silent = part.state == BodyState::kTimedOut;
       const std::string_view cause = silent ? kSilentStreamCause : std::string_view("stream_cut");
       co_return co_await this->AfterFailure(lease, cause);
     }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -289,7 +289,8 @@
     attempt.Abort();
     co_return co_await this->AfterFailure(lease, "unsigned");
   }
-  if (is_success && this->routed.route->kind == RouteKind::kStream) {
+  if (is_success && this->routed.route->kind == RouteKind::kStream &&
+      answer.decoded.is_event_stream) {
     co_return co_await this->ForwardStream(attempt, lease, std::move(answer));
   }
   co_return co_await this->ForwardWholeAnswer(attempt, lease, std::move(answer));
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -44,7 +44,7 @@
   net::asio::awaitable<bool> ForwardEvents(std::vector<StreamEvent> events,
                                            const AnswerHead& answer);
   net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
-  net::asio::awaitable<Step> EndStream(const std::string& rest, const AnswerHead& answer);
+  net::asio::awaitable<Step> EndStream(const AnswerHead& answer);
   net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
--- a/src/gateway/types/endpoint_answer.h
+++ b/src/gateway/types/endpoint_answer.h
@@ -14,6 +14,7 @@
   bool not_executed = false;    ///< the endpoint states that the request did not run
   bool other_instance = false;  ///< another endpoint now has the address
   bool is_signed = false;       ///< carries the endpoint's signature
+  bool is_event_stream = true;  ///< the body is a series of events; false if another type is stated
   std::optional<ReportedLoad> load;
   std::optional<std::chrono::seconds> idle_limit;  ///< idle time before it closes a connection
 };
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 
-#include "gateway/internal/endpoint_attempt.h"
-#include "gateway/internal/event_splitter.h"
+#include "gateway/internal/answer_stream.h"
 #include "jobs/internal/unix_time.h"
 #include "jobs/job_service.h"
 #include "net/backoff.h"
@@ -14,12 +13,13 @@
 namespace {
 
 using gateway::internal::AnswerHead;
+using gateway::internal::AnswerStream;
 using gateway::internal::AttemptLimits;
 using gateway::internal::BodyPiece;
 using gateway::internal::BodyState;
 using gateway::internal::EndpointAttempt;
-using gateway::internal::EventSplitter;
 using gateway::internal::StreamEvent;
+using gateway::internal::StreamPart;
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
@@ -80,33 +80,31 @@
 awaitable<ItemAttemptOutcome> ReadItem(EndpointAttempt& attempt, ItemTracker& items,
                                        std::size_t item, gateway::EndpointState& endpoint,
                                        gateway::CancelScope& cancel) {
-  EventSplitter splitter;
+  AnswerStream stream(attempt);
   net::SteadyTime last_arrival;
   while (true) {
-    BodyPiece piece = co_await attempt.ReadPiece(net::Now() + kItemEventTimeout);
+    StreamPart part = co_await stream.Read(net::Now() + kItemEventTimeout);
     if (items.Progress(item).phase == ItemPhase::kEnded) {
       co_return ItemAttemptOutcome::kResume;
     }
-    std::vector<StreamEvent> events = splitter.Add(piece.bytes);
     const net::SteadyTime arrival = net::Now();
-    if (!events.empty()) {
+    if (!part.events.empty()) {
       if (last_arrival != net::SteadyTime{}) {
         gateway::EndpointFeedback::RecordUnitLatency(
-            endpoint, (arrival - last_arrival) / static_cast<int>(events.size()));
+            endpoint, (arrival - last_arrival) / static_cast<int>(part.events.size()));
       }
       last_arrival = arrival;
     }
-    const bool follows = AppendEvents(items.Progress(item), std::move(events));
+    const bool follows = AppendEvents(items.Progress(item), std::move(part.events));
     if (!follows || cancel.IsCancelled()) {
       co_return ItemAttemptOutcome::kResume;
     }
-    if (piece.state == BodyState::kEnd) {
-      co_return splitter.Rest().empty() ? ItemAttemptOutcome::kComplete
-                                        : ItemAttemptOutcome::kResume;
+    if (part.state == BodyState::kEnd) {
+      co_return ItemAttemptOutcome::kComplete;
     }
-    if (piece.state != BodyState::kMore) {
+    if (part.state != BodyState::kMore) {
       gateway::EndpointFeedback::RecordFailure(endpoint, net::Now(),
-                                               piece.state == BodyState::kTimedOut);
+                                               part.state == BodyState::kTimedOut);
       co_return ItemAttemptOutcome::kResume;
     }
   }
