Do not complete an item or a stream that was broken off before its first event

Change: AnswerStream tells an empty answer from a complete one where only the connection marks the end. Callers' streams are resumed or fail with 502. Items are tried again; one that has events and gets two such answers in a row was complete, only the end of its answer had been lost.

--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -7,17 +7,28 @@
 
 namespace lentilhead::gateway::internal {
 
+/// State of a streamed answer after a read.
+enum class StreamState {
+  kMore,      ///< more events may follow
+  kComplete,  ///< the last event was received
+  kEmpty,     ///< the connection ended before any event: broken, or nothing was left to send
+  kBroken,    ///< broken off between events or inside one
+  kTimedOut,  ///< the time limit passed first
+};
+
 /// Events of a streamed answer from one read.
 struct StreamPart {
   std::vector<StreamEvent> events;
-  BodyState state = BodyState::kMore;  ///< kEnd only if the stream is complete
+  StreamState state = StreamState::kMore;
 };
 
 /// Reads the events of a streamed answer and decides whether the stream is complete.
 class AnswerStream {
  public:
   /// @param attempt its answer is read; must outlive this object.
-  explicit AnswerStream(EndpointAttempt& attempt) : attempt(attempt) {}
+  /// @param framing framing of that answer.
+  AnswerStream(EndpointAttempt& attempt, AnswerFraming framing)
+      : attempt(attempt), framing(framing) {}
 
   /// Reads the next events.
   /// @param until time limit of the read.
@@ -27,8 +38,12 @@
   [[nodiscard]] std::size_t UnfinishedBytes() const { return this->splitter.Rest().size(); }
 
  private:
+  [[nodiscard]] StreamState StateAfter(BodyState body) const;
+
   EndpointAttempt& attempt;
+  AnswerFraming framing;
   EventSplitter splitter;
+  bool has_events = false;
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -137,7 +137,7 @@
 
 awaitable<OnlineRun::Step> OnlineRun::ForwardStream(EndpointAttempt& attempt,
                                                     const EndpointLease& lease, AnswerHead answer) {
-  AnswerStream stream(attempt);
+  AnswerStream stream(attempt, answer.framing);
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
   while (true) {
@@ -168,11 +168,11 @@
         co_return Step::kDone;
       }
     }
-    if (part.state == BodyState::kEnd) {
+    if (part.state == StreamState::kComplete) {
       co_return co_await this->EndStream(answer);
     }
-    if (part.state != BodyState::kMore) {
-      const bool silent = part.state == BodyState::kTimedOut;
+    if (part.state != StreamState::kMore) {
+      const bool silent = part.state == StreamState::kTimedOut;
       const std::string_view cause = silent ? kSilentStreamCause : std::string_view("stream_cut");
       co_return co_await this->AfterFailure(lease, cause);
     }
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -20,6 +20,7 @@
 using gateway::internal::EndpointAttempt;
 using gateway::internal::StreamEvent;
 using gateway::internal::StreamPart;
+using gateway::internal::StreamState;
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
@@ -29,12 +30,15 @@
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
+// An item whose last event was received, but not the end of its answer, is resumed in vain.
+constexpr int kEmptyAnswersAtEnd = 2;
 constexpr std::size_t kMaxErrorBodyBytes = 64 << 10;
 
 /// How an attempt at an item ended.
 enum class ItemAttemptOutcome {
   kComplete,          ///< the output is whole
   kResume,            ///< the next attempt resumes after the last event received
+  kEmptyAnswer,       ///< as kResume; a successful answer ended before any event
   kRunFailed,         ///< the endpoint reports that the run failed
   kPermanentFailure,  ///< the endpoint reports that the item can never be completed
 };
@@ -45,6 +49,8 @@
       return "whole";
     case ItemAttemptOutcome::kResume:
       return "goes_on";
+    case ItemAttemptOutcome::kEmptyAnswer:
+      return "empty_answer";
     case ItemAttemptOutcome::kRunFailed:
       return "failed_run";
     case ItemAttemptOutcome::kPermanentFailure:
@@ -77,10 +83,9 @@
 }
 
 /// Reads the events of an item until its stream ends.
-awaitable<ItemAttemptOutcome> ReadItem(EndpointAttempt& attempt, ItemTracker& items,
-                                       std::size_t item, gateway::EndpointState& endpoint,
+awaitable<ItemAttemptOutcome> ReadItem(AnswerStream stream, ItemTracker& items, std::size_t item,
+                                       gateway::EndpointState& endpoint,
                                        gateway::CancelScope& cancel) {
-  AnswerStream stream(attempt);
   net::SteadyTime last_arrival;
   while (true) {
     StreamPart part = co_await stream.Read(net::Now() + kItemEventTimeout);
@@ -99,13 +104,14 @@
     if (!follows || cancel.IsCancelled()) {
       co_return ItemAttemptOutcome::kResume;
     }
-    if (part.state == BodyState::kEnd) {
+    if (part.state == StreamState::kComplete) {
       co_return ItemAttemptOutcome::kComplete;
     }
-    if (part.state != BodyState::kMore) {
+    if (part.state != StreamState::kMore) {
       gateway::EndpointFeedback::RecordFailure(endpoint, net::Now(),
-                                               part.state == BodyState::kTimedOut);
-      co_return ItemAttemptOutcome::kResume;
+                                               part.state == StreamState::kTimedOut);
+      co_return part.state == StreamState::kEmpty ? ItemAttemptOutcome::kEmptyAnswer
+                                                  : ItemAttemptOutcome::kResume;
     }
   }
 }
@@ -142,7 +148,8 @@
   const unsigned code = answer.head.result_int();
   if (code / 100 == 2 && answer.decoded.is_signed) {
     gateway::EndpointFeedback::RecordAnswer(lease.Endpoint(), net::Now());
-    co_return co_await ReadItem(attempt, items, item, lease.Endpoint(), cancel);
+    co_return co_await ReadItem(AnswerStream(attempt, answer.framing), items, item,
+                                lease.Endpoint(), cancel);
   }
   BodyPiece rest = co_await attempt.ReadRest(kMaxErrorBodyBytes, net::Now() + kItemEventTimeout);
   if (answer.decoded.other_instance) {
@@ -262,6 +269,11 @@
     co_return;
   }
   progress.phase = ItemPhase::kWaiting;
+  progress.empty_answers =
+      outcome == ItemAttemptOutcome::kEmptyAnswer ? progress.empty_answers + 1 : 0;
+  if (progress.last_event && progress.empty_answers >= kEmptyAnswersAtEnd) {
+    outcome = ItemAttemptOutcome::kComplete;
+  }
   this->RecordPace(*job, *attempt, outcome == ItemAttemptOutcome::kComplete);
   if (outcome == ItemAttemptOutcome::kComplete) {
     job->items.End(item, ItemOutcome::kCompleted);
--- a/src/jobs/types/item_progress.h
+++ b/src/jobs/types/item_progress.h
@@ -21,6 +21,7 @@
   std::string output;  ///< data of the events received, joined by line feeds
   std::optional<std::int64_t> last_event;
   int failures = 0;                         ///< answers that report a failed run
+  int empty_answers = 0;                    ///< answers in a row that ended before any event
   std::optional<std::int64_t> saved_event;  ///< last_event at the last save
   int saved_failures = 0;
   net::SteadyTime not_before;  ///< no attempt starts earlier
