Send nothing new to an endpoint that says in an answer that it is leaving

Cause: the header Server-Leaving was read nowhere; an endpoint was known to leave only from the list, which is late while the store is slow or away, and which some endpoints never tell. Change: EndpointAttempt reads the header in every head (refusals, batch items and answers to other requests included) and marks the endpoint in EndpointRegistry, the one place that decides where requests go. The mark belongs to one start of the endpoint; rows that still say ready do not end it. The nodes of the group hear of it in their messages, with a field that older nodes are sent only while it is needed. Log event endpoint_leaving, counter gateway_endpoints_leaving_total.

--- a/src/apps/node/metric_help.cc
+++ b/src/apps/node/metric_help.cc
@@ -12,6 +12,8 @@
     {"gateway_first_event_seconds",
      "Time from arrival to the first event of a stream, in seconds."},
     {"gateway_attempt_failures_total", "Attempts at endpoints that failed, by cause."},
+    {"gateway_endpoints_leaving_total",
+     "Endpoints found to be leaving before the list said so, by source."},
     {"gateway_not_executed_total", "Attempts that an endpoint turned down, by status."},
     {"gateway_stale_connections_total",
      "Attempts repeated as the endpoint had given up the idle connection."},
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -42,7 +42,8 @@
   /// Increases whenever an endpoint is added or deleted.
   [[nodiscard]] std::uint64_t ListVersion() const { return this->list_version; }
 
-  /// Deletes endpoints that are neither listed nor usable and have no request in flight.
+  /// Deletes endpoints that are neither listed nor usable and have no request in flight. Leaving
+  /// endpoints are kept longer, in case that an entry which lapsed in an outage returns.
   void Prune(net::SteadyTime now);
 
   /// Chooses an endpoint with a free slot by health, load, latency and age of the peers' loads.
@@ -63,6 +64,13 @@
   /// Treats endpoints that a peer found unreachable as unreachable for a while.
   void RecordPeerSuspects(const std::vector<std::uint32_t>& keys, net::SteadyTime now);
 
+  /// Incarnations of the endpoints that told this node recently that they are leaving.
+  [[nodiscard]] std::vector<std::uint32_t> SaidLeaving(net::SteadyTime now) const;
+
+  /// Marks endpoints as leaving that a peer heard it from.
+  /// @return ids of the endpoints that were not marked before.
+  std::vector<std::string> RecordPeerLeaving(const std::vector<std::uint32_t>& incarnations);
+
   /// Requests of this node in flight, by endpoint.
   [[nodiscard]] std::vector<EndpointLoad> OwnLoads() const;
 
@@ -145,6 +153,11 @@
   /// Counts a failure for an error answer, or for a refusal although the endpoint has free slots.
   static void RecordErrorAnswer(EndpointState& state, net::SteadyTime now);
 
+  /// Records that the endpoint said that it is leaving. The mark ends with this start of the
+  /// endpoint, or when its entry has been missing for a while.
+  /// @return whether this was new.
+  static bool RecordLeaving(EndpointState& state, net::SteadyTime now);
+
   /// Records the load that the endpoint reported.
   static void RecordLoad(EndpointState& state, const ReportedLoad& load, net::SteadyTime now);
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "gateway/endpoint_registry.h"
+#include "gateway/gateway.h"
+#include "net/log_line.h"
 #include "net/socket_options.h"
 #include "platform/request_codec.h"
 
@@ -36,9 +37,9 @@
 
 }  // namespace
 
-EndpointAttempt::EndpointAttempt(net::asio::any_io_executor executor, ConnectionPool& pool,
-                                 std::shared_ptr<EndpointState> endpoint, CancelScope& cancel)
-    : executor(std::move(executor)), pool(pool), endpoint(std::move(endpoint)), cancel(cancel) {}
+EndpointAttempt::EndpointAttempt(Gateway& gateway, std::shared_ptr<EndpointState> endpoint,
+                                 CancelScope& cancel)
+    : gateway(gateway), endpoint(std::move(endpoint)), cancel(cancel) {}
 
 void EndpointAttempt::Abort() {
   this->cancel.OnCancel(nullptr);
@@ -49,11 +50,11 @@
 }
 
 awaitable<bool> EndpointAttempt::Connect(net::SteadyTime until, milliseconds longest_idle) {
-  this->connection = this->pool.Take(*this->endpoint, longest_idle, net::Now());
+  this->connection = this->gateway.pool.Take(*this->endpoint, longest_idle, net::Now());
   if (this->connection) {
     co_return true;
   }
-  this->connection = std::make_shared<EndpointConnection>(this->executor, this->endpoint);
+  this->connection = std::make_shared<EndpointConnection>(this->gateway.executor, this->endpoint);
   const ConnectionPool::Connection held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
   held->stream.expires_at(std::min(until, net::Now() + kConnectLimit));
@@ -81,7 +82,7 @@
   held->sent_at = net::Now();
   held->stream.expires_at(limits.answer_by);
   auto shared_message = std::make_shared<net::Request>(std::move(message));
-  net::asio::co_spawn(this->executor, WriteRequest(held, std::move(shared_message)),
+  net::asio::co_spawn(this->gateway.executor, WriteRequest(held, std::move(shared_message)),
                       net::asio::detached);
   StartOutcome outcome =
       co_await this->ReadHead(std::move(request_id), is_head_request, limits.answer_by);
@@ -138,6 +139,7 @@
     }
     AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
     answer.decoded = platform::DecodeAnswer(answer.head);
+    this->RecordIfLeaving(answer.decoded);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
     if (answered == request_id || (answered.empty() && !is_success)) {
@@ -151,6 +153,23 @@
   co_return AttemptFailure::kUnknown;
 }
 
+void EndpointAttempt::RecordIfLeaving(const EndpointAnswer& answer) {
+  if (!answer.is_leaving || answer.other_instance) {
+    return;
+  }
+  const bool is_new = EndpointFeedback::RecordLeaving(*this->endpoint, net::Now());
+  if (!is_new) {
+    return;
+  }
+  net::LogLine("endpoint_leaving")
+      .With("endpoint", this->endpoint->entry.id)
+      .With("source", "answer")
+      .With("request", answer.request_id)
+      .With("listed", this->endpoint->listed)
+      .With("own", this->endpoint->OwnTotal());
+  this->gateway.metrics.GetCounter("gateway_endpoints_leaving_total", {{"source", "answer"}}).Add();
+}
+
 AnswerFraming EndpointAttempt::Framing() const {
   if (this->parser->chunked()) {
     return AnswerFraming::kChunks;
@@ -169,7 +188,7 @@
   const EndpointAnswer decoded = platform::DecodeAnswer(this->parser->get().base());
   this->connection->idle_limit =
       decoded.idle_limit ? milliseconds(*decoded.idle_limit) - kIdleMargin : kDefaultIdleLimit;
-  this->pool.Return(std::move(this->connection), net::Now());
+  this->gateway.pool.Return(std::move(this->connection), net::Now());
   this->connection.reset();
 }
 
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -11,6 +11,10 @@
 #include "gateway/types/attempt_failure.h"
 #include "gateway/types/endpoint_answer.h"
 
+namespace lentilhead::gateway {
+struct Gateway;
+}  // namespace lentilhead::gateway
+
 namespace lentilhead::gateway::internal {
 
 /// Head of an endpoint's answer, as received and decoded.
@@ -49,8 +53,7 @@
 
   /// @param endpoint endpoint that the request is sent to.
   /// @param cancel closes the connection when cancelled.
-  EndpointAttempt(net::asio::any_io_executor executor, ConnectionPool& pool,
-                  std::shared_ptr<EndpointState> endpoint, CancelScope& cancel);
+  EndpointAttempt(Gateway& gateway, std::shared_ptr<EndpointState> endpoint, CancelScope& cancel);
   EndpointAttempt(const EndpointAttempt&) = delete;
   EndpointAttempt& operator=(const EndpointAttempt&) = delete;
   ~EndpointAttempt() { this->Abort(); }
@@ -80,11 +83,11 @@
                                               net::SteadyTime until);
   [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error) const;
   net::asio::awaitable<bool> DiscardAnswer(net::SteadyTime until);
+  void RecordIfLeaving(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
   void Finish();
 
-  net::asio::any_io_executor executor;
-  ConnectionPool& pool;
+  Gateway& gateway;
   std::shared_ptr<EndpointState> endpoint;
   CancelScope& cancel;
   ConnectionPool::Connection connection;
--- a/src/gateway/internal/endpoint_feedback.cc
+++ b/src/gateway/internal/endpoint_feedback.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "gateway/endpoint_registry.h"
 
@@ -34,6 +35,11 @@
   state.stale_idle_until = now + kStaleIdleLifetime;
 }
 
+bool EndpointFeedback::RecordLeaving(EndpointState& state, net::SteadyTime now) {
+  state.said_leaving_at = now;
+  return !std::exchange(state.is_leaving, true);
+}
+
 void EndpointFeedback::RecordFull(EndpointState& state, net::SteadyTime now) {
   state.full_until = now + kFullPause;
 }
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -32,10 +32,15 @@
 constexpr milliseconds kPeerSuspicion{500};
 // Enough to spread requests over all endpoints outside the group, whose load is mostly unknown.
 constexpr double kUnseenOutsideGroup = 1000;
+// Entries that lapse while the store is away return within about two seconds of it.
+constexpr milliseconds kLeavingMemory{10000};
+// Several messages to each peer, because some datagrams are lost.
+constexpr milliseconds kLeavingAnnouncement{2000};
 constexpr double kZoneAdvantage = 0.02;  // only breaks ties in favour of the own zone
 
 bool IsUsable(const EndpointState& state, net::SteadyTime now) {
-  return !state.entry.is_draining && (state.listed || now < state.usable_until);
+  return !state.entry.is_draining && !state.is_leaving &&
+         (state.listed || now < state.usable_until);
 }
 
 /// Tells whether an endpoint can take one more request.
@@ -78,6 +83,7 @@
       state->entry.started_unix_ms != entry.started_unix_ms) {
     state = std::make_shared<EndpointState>();
     state->key = HashKey(entry.id);
+    state->incarnation = HashKey(entry.id + '#' + std::to_string(entry.started_unix_ms));
     state->in_group = this->has_whole_group;
     ++this->list_version;
     this->by_key[state->key] = state;
@@ -132,7 +138,9 @@
 void EndpointRegistry::Prune(net::SteadyTime now) {
   std::erase_if(this->endpoints, [&](const auto& item) {
     const EndpointState& state = *item.second;
-    const bool expired = !state.listed && now >= state.usable_until && state.OwnTotal() == 0;
+    const milliseconds memory = state.is_leaving ? kLeavingMemory : milliseconds(0);
+    const bool expired =
+        !state.listed && now >= state.usable_until + memory && state.OwnTotal() == 0;
     if (expired) {
       ++this->list_version;
       this->by_key.erase(state.key);
@@ -283,6 +291,32 @@
   }
 }
 
+std::vector<std::uint32_t> EndpointRegistry::SaidLeaving(net::SteadyTime now) const {
+  std::vector<std::uint32_t> incarnations;
+  for (const auto& [id, state] : this->endpoints) {
+    if (state->is_leaving && now - state->said_leaving_at < kLeavingAnnouncement) {
+      incarnations.push_back(state->incarnation);
+    }
+  }
+  return incarnations;
+}
+
+std::vector<std::string> EndpointRegistry::RecordPeerLeaving(
+    const std::vector<std::uint32_t>& incarnations) {
+  std::vector<std::string> marked;
+  if (incarnations.empty()) {
+    return marked;
+  }
+  for (const auto& [id, state] : this->endpoints) {
+    const bool said = std::find(incarnations.begin(), incarnations.end(), state->incarnation) !=
+                      incarnations.end();
+    if (said && !std::exchange(state->is_leaving, true)) {
+      marked.push_back(id);
+    }
+  }
+  return marked;
+}
+
 std::vector<EndpointLoad> EndpointRegistry::OwnLoads() const {
   std::vector<EndpointLoad> loads;
   for (const auto& [id, state] : this->endpoints) {
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -169,7 +169,7 @@
   net::Request message = platform::EncodeAttempt(this->routed.request, options);
   EndpointFeedback::RecordAttempt(lease.Endpoint(), now);
   this->LogAttempt(lease.Endpoint(), now);
-  EndpointAttempt attempt(this->gateway.executor, this->gateway.pool, lease.Shared(), this->cancel);
+  EndpointAttempt attempt(this->gateway, lease.Shared(), this->cancel);
   AttemptLimits limits{AttemptPolicy::AnswerDeadline(route, now, this->routed.deadline, may_retry),
                        this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime};
   EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
--- a/src/gateway/tests/endpoint_registry_test.cc
+++ b/src/gateway/tests/endpoint_registry_test.cc
@@ -57,6 +57,80 @@
   CHECK(registry.Choose(Online(), kStart).reason == NoChoice::kNoUsable);
 }
 
+TEST_CASE("an endpoint that says it is leaving is not chosen while its entry says it is ready") {
+  for (const WorkClass work : {WorkClass::kOnline, WorkClass::kBatch}) {
+    EndpointRegistry registry("a");
+    registry.Put(Entry("one"));
+    CHECK(EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart));
+    CHECK_FALSE(EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart));
+    registry.Put(Entry("one"));
+    registry.ReplaceAll({Entry("one")}, kStart);
+    EndpointFeedback::RecordAnswer(StateOf(registry, "one"), kStart);
+    const ChoiceRequest request{"svc", {}, work};
+    CHECK(registry.Choose(request, kStart + std::chrono::hours(1)).reason == NoChoice::kNoUsable);
+    registry.Put(Entry("two"));
+    CHECK(registry.Choose(request, kStart).endpoint->entry.id == "two");
+  }
+}
+
+TEST_CASE("the mark of a leaving endpoint ends with its start, not with its heartbeats") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart);
+  EndpointEntry restarted = Entry("one");
+  restarted.started_unix_ms = 5;
+  registry.Put(restarted);
+  CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "one");
+}
+
+TEST_CASE(
+    "a leaving endpoint whose entry lapses in an outage of the store is leaving when it returns") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart);
+  registry.Remove("one", kStart + milliseconds(2000));
+  registry.Prune(kStart + milliseconds(4000));
+  registry.Put(Entry("one"));
+  CHECK(registry.Choose(Online(), kStart + milliseconds(4000)).reason == NoChoice::kNoUsable);
+}
+
+TEST_CASE("an endpoint that was gone for long and is listed anew is used again") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart);
+  registry.Remove("one", kStart);
+  registry.Prune(kStart + std::chrono::seconds(30));
+  registry.Put(Entry("one"));
+  CHECK(registry.Choose(Online(), kStart + std::chrono::seconds(30)).endpoint != nullptr);
+}
+
+TEST_CASE("peers hear for a while of an endpoint that told this node it is leaving") {
+  EndpointRegistry registry("a");
+  EndpointRegistry peer("a");
+  registry.Put(Entry("one"));
+  peer.Put(Entry("one"));
+  peer.Put(Entry("two"));
+  EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart);
+  const std::vector<std::uint32_t> told = registry.SaidLeaving(kStart + milliseconds(300));
+  CHECK(peer.RecordPeerLeaving(told) == std::vector<std::string>{"one"});
+  CHECK(peer.RecordPeerLeaving(told).empty());
+  CHECK(peer.Choose(Online(), kStart).endpoint->entry.id == "two");
+  CHECK(peer.SaidLeaving(kStart).empty());  // or nodes would remind each other for ever
+  CHECK(registry.SaidLeaving(kStart + milliseconds(5000)).empty());
+}
+
+TEST_CASE("a peer's word of a leaving endpoint does not concern a later start under the same id") {
+  EndpointRegistry registry("a");
+  EndpointRegistry peer("a");
+  registry.Put(Entry("one"));
+  EndpointEntry restarted = Entry("one");
+  restarted.started_unix_ms = 5;
+  peer.Put(restarted);
+  EndpointFeedback::RecordLeaving(StateOf(registry, "one"), kStart);
+  CHECK(peer.RecordPeerLeaving(registry.SaidLeaving(kStart)).empty());
+  CHECK(peer.Choose(Online(), kStart).endpoint != nullptr);
+}
+
 TEST_CASE("an entry missing from a new list is used until its grace period ends") {
   EndpointRegistry registry("a");
   registry.Put(Entry("one"));
--- a/src/gateway/types/endpoint_answer.h
+++ b/src/gateway/types/endpoint_answer.h
@@ -15,6 +15,7 @@
   bool other_instance = false;  ///< another endpoint now has the address
   bool is_signed = false;       ///< carries the endpoint's signature
   bool is_event_stream = true;  ///< the body is a series of events; false if another type is stated
+  bool is_leaving = false;      ///< the endpoint finishes its open work and exits
   std::optional<ReportedLoad> load;
   std::optional<std::chrono::seconds> idle_limit;  ///< idle time before it closes a connection
 };
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -12,13 +12,16 @@
 /// State of an endpoint as one node sees it.
 struct EndpointState {
   EndpointEntry entry;
-  std::uint32_t key = 0;  ///< HashKey() of the id; names the endpoint in load messages
-  bool listed = true;     ///< the endpoint list contains the entry
+  std::uint32_t key = 0;          ///< HashKey() of the id; names the endpoint in load messages
+  std::uint32_t incarnation = 0;  ///< hash of the id and the start time
+  bool listed = true;             ///< the endpoint list contains the entry
   net::SteadyTime usable_until = net::SteadyTime::max();  ///< applies if not listed
   net::SteadyTime suspect_until;                          ///< set by failed attempts of this node
   net::SteadyTime peers_suspect_until;                    ///< set by reports of peers
   net::SteadyTime last_answer;
-  bool unreachable = false;  ///< last failure: no connection or silence, as for other nodes
+  bool is_leaving = false;  ///< the endpoint or a peer said so; no new request is sent there
+  net::SteadyTime said_leaving_at;  ///< last time at which the endpoint told this node
+  bool unreachable = false;         ///< last failure: no connection or silence, as for other nodes
   int failures_in_row = 0;
   DecayingCount attempts;  ///< recent attempts of this node
   DecayingCount failures;  ///< recent attempts of this node that failed
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -127,7 +127,7 @@
   options.last_event_id = items.Progress(item).last_event;
   net::Request message = platform::EncodeAttempt(request, options);
   gateway::EndpointFeedback::RecordAttempt(lease.Endpoint(), net::Now());
-  EndpointAttempt attempt(gateway.executor, gateway.pool, lease.Shared(), cancel);
+  EndpointAttempt attempt(gateway, lease.Shared(), cancel);
   AttemptLimits limits{net::Now() + kItemEventTimeout, milliseconds::max()};
   EndpointAttempt::StartOutcome outcome =
       co_await attempt.Start(std::move(message), request.id, limits);
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -92,7 +92,8 @@
                  this->view.EndpointsVersion(), this->gateway.stopping,
                  this->store_served && this->store_served(),
                  this->gateway.registry.Unreachable(now), this->gateway.registry.OwnLoads(),
-                 this->gateway.registry.Outliers().OwnReport(this->gateway.registry.All(), now)});
+                 this->gateway.registry.Outliers().OwnReport(this->gateway.registry.All(), now),
+                 this->gateway.registry.SaidLeaving(now)});
 }
 
 void PeerExchange::SendTo(const Address& address, const std::string& bytes) {
@@ -178,10 +179,22 @@
   this->gateway.registry.SetPeerLoad(message.name, message.loads);
   this->gateway.registry.RecordPeerSuspects(message.unreachable_endpoints, net::Now());
   this->gateway.registry.Outliers().SetPeerReport(message.name, message.failures);
+  this->RecordLeaving(message);
   this->peers[sender] = {std::move(message), net::Now()};
   this->gateway.admission.Dispatch();
 }
 
+void PeerExchange::RecordLeaving(const PeerMessage& message) {
+  for (const std::string& id :
+       this->gateway.registry.RecordPeerLeaving(message.leaving_endpoints)) {
+    net::LogLine("endpoint_leaving")
+        .With("endpoint", id)
+        .With("source", "peer")
+        .With("peer", message.name);
+    this->gateway.metrics.GetCounter("gateway_endpoints_leaving_total", {{"source", "peer"}}).Add();
+  }
+}
+
 void PeerExchange::Expire() {
   const net::SteadyTime now = net::Now();
   std::erase_if(this->peers, [&](const auto& item) {
--- a/src/peers/internal/peer_message.cc
+++ b/src/peers/internal/peer_message.cc
@@ -8,7 +8,8 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kFields = 12;
+constexpr std::size_t kMinFields = 12;
+constexpr std::size_t kLeavingField = 12;  // sent only if needed: older nodes reject it
 
 json EncodeCounts(const std::vector<gateway::KeyedCount>& counts) {
   json fields = json::array();
@@ -40,25 +41,28 @@
     loads.push_back(load.online);
     loads.push_back(load.batch);
   }
-  const json fields = {message.name,
-                       message.incarnation,
-                       message.sequence,
-                       message.config_version,
-                       message.endpoints_version,
-                       message.is_leaving,
-                       std::move(loads),
-                       message.store_served,
-                       message.unreachable_endpoints,
-                       message.failures.zone,
-                       EncodeCounts(message.failures.attempts),
-                       EncodeCounts(message.failures.failures)};
+  json fields = {message.name,
+                 message.incarnation,
+                 message.sequence,
+                 message.config_version,
+                 message.endpoints_version,
+                 message.is_leaving,
+                 std::move(loads),
+                 message.store_served,
+                 message.unreachable_endpoints,
+                 message.failures.zone,
+                 EncodeCounts(message.failures.attempts),
+                 EncodeCounts(message.failures.failures)};
+  if (!message.leaving_endpoints.empty()) {
+    fields.push_back(message.leaving_endpoints);
+  }
   const std::vector<std::uint8_t> bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
 }
 
 bool Decode(const std::string& bytes, PeerMessage& message) {
   const json fields = json::from_msgpack(bytes, true, false);
-  if (!fields.is_array() || fields.size() != kFields || !fields[6].is_array() ||
+  if (!fields.is_array() || fields.size() < kMinFields || !fields[6].is_array() ||
       fields[6].size() % 3 != 0) {
     return false;
   }
@@ -76,6 +80,10 @@
         !DecodeCounts(fields[11], message.failures.failures)) {
       return false;
     }
+    message.leaving_endpoints.clear();
+    if (fields.size() > kLeavingField) {
+      fields[kLeavingField].get_to(message.leaving_endpoints);
+    }
     message.loads.clear();
     for (std::size_t index = 0; index < fields[6].size(); index += 3) {
       message.loads.push_back({fields[6][index].get<std::uint32_t>(),
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -84,6 +84,7 @@
   };
 
   void Handle(const std::string& bytes, const Address& sender);
+  void RecordLeaving(const PeerMessage& message);
   void Expire();
   void SendToAll();
   void SendToYieldingPeers();
--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -15,7 +15,8 @@
                             true,
                             {41},
                             {{99, 2, 1}, {100, 0, 3}},
-                            {"zone", {{5, 123}}, {{99, 41}}}};
+                            {"zone", {{5, 123}}, {{99, 41}}},
+                            {}};
   PeerMessage read;
   REQUIRE(Decode(Encode(message), read));
   CHECK(read.incarnation == "node#1");
@@ -30,9 +31,19 @@
   CHECK(read.failures.failures.at(0).key == 99);
 }
 
+TEST_CASE("leaving endpoints are decoded, and a message of an older node has none") {
+  PeerMessage message{"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}, {17, 41}};
+  PeerMessage read;
+  REQUIRE(Decode(Encode(message), read));
+  CHECK(read.leaving_endpoints == std::vector<std::uint32_t>{17, 41});
+  message.leaving_endpoints.clear();
+  REQUIRE(Decode(Encode(message), read));
+  CHECK(read.leaving_endpoints.empty());
+}
+
 TEST_CASE("a truncated or foreign datagram is rejected") {
   const std::string bytes =
-      Encode({"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}});
+      Encode({"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}, {}});
   PeerMessage read;
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     CHECK_FALSE(Decode(bytes.substr(0, size), read));
--- a/src/peers/types/peer_message.h
+++ b/src/peers/types/peer_message.h
@@ -22,6 +22,8 @@
   std::vector<std::uint32_t> unreachable_endpoints;
   std::vector<gateway::EndpointLoad> loads;
   gateway::FailureReport failures;
+  /// Incarnations of endpoints that told the node that they are leaving.
+  std::vector<std::uint32_t> leaving_endpoints;
 };
 
 /// Encodes a message as a datagram.
