Take a completion whose JSON was broken off for a failed attempt in the entry and batch programs

Streams end with a marker there and are safe, but whole completions of model engines were passed on, or written as a result, as they came. Answers that do not state JSON, and those of plain services in the entry program, are passed on as before.

--- a/src/batch/internal/item_run.cc
+++ b/src/batch/internal/item_run.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "batch/internal/continuation.h"
+#include "framework/broken_json.h"
 
 namespace lentilhead::batch::internal {
 
@@ -64,6 +65,7 @@
   framework::HttpStreamHandlers handlers;
   handlers.on_head = [this](const framework::HttpResponseHead& head) {
     this->status = head.status;
+    this->content_type = head.Header("content-type").value_or("");
   };
   handlers.on_data = [this](std::string_view data) {
     if (this->streamed && this->status == kOk) {
@@ -145,7 +147,10 @@
     return;
   }
   const bool streaming = this->streamed && this->status == kOk;
-  if (streaming && !this->stream.IsComplete() && !this->stream.HasError()) {
+  const bool stream_cut = streaming && !this->stream.IsComplete() && !this->stream.HasError();
+  const bool body_cut =
+      !streaming && this->status == kOk && framework::IsBrokenJson(this->content_type, this->body);
+  if (stream_cut || body_cut) {
     this->End(this->ResultOf(AttemptOutcome::kLost, ""), AttemptEnd::kFailed);
     return;
   }
--- a/src/batch/internal/item_run.h
+++ b/src/batch/internal/item_run.h
@@ -54,6 +54,7 @@
   PartialAnswer continued;
   StreamAnswer stream;
   int status = 0;
+  std::string content_type;
   std::string body;
   EndHandler on_end;
   framework::TimerSubscription timer;
--- a/src/batch/tests/batch_fleet_test.cc
+++ b/src/batch/tests/batch_fleet_test.cc
@@ -117,6 +117,20 @@
   }
 }
 
+TEST_CASE("a completion that was broken off is no result") {
+  BatchFleet fleet(1, 1);
+  fleet.engines[0]->cut_text = "text";
+  const std::string line =
+      R"({"custom_id":"0","method":"POST","url":"/v1/chat/completions","body":{"model":"m","n":2,)"
+      R"("messages":[{"role":"user","content":"text"}]}})";
+  const auto accepted = fleet.Call(0, "POST", "/v1/jobs?service=profiles", line + "\n", "key");
+  const std::string job = json::parse(accepted.body)["id"];
+  REQUIRE(fleet.RunUntilState(job, "finished"));
+  CHECK(fleet.engines[0]->request_counts["text"] == 2);
+  const json result = json::parse(fleet.Call(0, "GET", "/v1/jobs/" + job + "/results").body);
+  CHECK(result["response"]["body"]["choices"][0]["message"]["content"] == "re text");
+}
+
 TEST_CASE("a draining instance hands its jobs over") {
   BatchFleet fleet(2, 2, std::chrono::milliseconds(2));
   const std::vector<std::string> jobs = SubmitSeveral(fleet, 4);
--- a/src/batch/tests/stub_engine.cc
+++ b/src/batch/tests/stub_engine.cc
@@ -58,7 +58,11 @@
   if (!streamed) {
     const json answer = {
         {"choices", {{{"message", {{"role", "assistant"}, {"content", "re " + text}}}}}}};
-    exchange->Respond(200, "application/json", answer.dump());
+    std::string body = answer.dump();
+    if (!this->cut_text.empty() && text == this->cut_text && this->request_counts[text] == 1) {
+      body.resize(body.size() / 2);
+    }
+    exchange->Respond(200, "application/json", body);
     return;
   }
   const json chunk = {
--- a/src/batch/tests/stub_engine.h
+++ b/src/batch/tests/stub_engine.h
@@ -28,6 +28,9 @@
   /// Requests with this text are answered with status 500.
   std::string failing_text;
 
+  /// The first answer to this text is broken off, but framed as complete, as a proxy may do.
+  std::string cut_text;
+
   /// Connections of requests with this text are closed without an answer.
   std::string aborted_text;
 
--- a/src/online/internal/attempt_machine.cc
+++ b/src/online/internal/attempt_machine.cc
@@ -1,7 +1,9 @@
 #include "online/internal/attempt_machine.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "framework/broken_json.h"
 #include "online/internal/answer_class.h"
 #include "online/internal/invariant.h"
 
@@ -33,6 +35,13 @@
   return false;
 }
 
+std::string_view ContentTypeOf(const AnswerHeaders& headers) {
+  const auto found = std::find_if(headers.begin(), headers.end(), [](const auto& header) {
+    return header.first == "content-type";
+  });
+  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
 bool IsNotSent(RetryReason reason) {
   return reason == RetryReason::kNoEndpoint || reason == RetryReason::kNotSent;
 }
@@ -212,6 +221,11 @@
     case AnswerClass::kAnswer:
       break;
   }
+  if (this->policy.engine && this->status == kOk &&
+      framework::IsBrokenJson(ContentTypeOf(this->headers), this->answer)) {
+    this->FailAttempt(RetryReason::kConnectionLost, AttemptEnd::kFailed);
+    return;
+  }
   this->effects.emplace_back(ReportAttempt{this->attempt, AttemptEnd::kSucceeded});
   if (this->stream_started) {
     // The resumed attempt was answered without a stream, so the caller's stream cannot continue.
