Give an item a result line when the stream of its only permitted attempt carried an error

Cause: JobLedger::OnFailure ended an item of an at-most-once job with the line of its failed attempt, which is empty when the error came inside a stream. An empty line stood among the job's results. Change: a failure without a line ends as attempts_exhausted, as for items that may be repeated, with a rendered line. Before: job_ledger_test: the item was ended with an empty line (EndingItems() empty). After: it passes, with all 27 cases of the batch tests.

--- a/src/batch/internal/job_ledger.cc
+++ b/src/batch/internal/job_ledger.cc
@@ -135,7 +135,7 @@
 void JobLedger::OnFailure(std::uint32_t item, AttemptOutcome outcome, std::string line,
                           framework::MonotonicTime now) {
   if (this->record.at_most_once && outcome == AttemptOutcome::kFailed) {
-    this->End(item, ResultKind::kFailed, std::move(line), now);
+    this->EndFailed(item, std::move(line), now);
     return;
   }
   if (this->record.at_most_once) {
@@ -155,6 +155,10 @@
     this->Requeue(item);
     return;
   }
+  this->EndFailed(item, std::move(line), now);
+}
+
+void JobLedger::EndFailed(std::uint32_t item, std::string line, framework::MonotonicTime now) {
   if (line.empty()) {
     this->BeginEnding(item, EndReason::kAttemptsExhausted);
     return;
--- a/src/batch/internal/job_ledger.h
+++ b/src/batch/internal/job_ledger.h
@@ -107,6 +107,7 @@
   void Requeue(std::uint32_t item);
   void OnFailure(std::uint32_t item, AttemptOutcome outcome, std::string line,
                  framework::MonotonicTime now);
+  void EndFailed(std::uint32_t item, std::string line, framework::MonotonicTime now);
   void OnHolderLost(std::uint32_t item);
   void ResolveUnconfirmed();
   void EndLateItems();
