--- a/src/fleet/tests/membership_test.cc
+++ b/src/fleet/tests/membership_test.cc
@@ -104,6 +104,22 @@
   CHECK(fleet.FindDifference().empty());
 }
 
+TEST_CASE("a short loss of a fifth of all messages moves no work") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    FleetSimulation fleet(kInstances, seed);
+    fleet.Run(kJoinTime);
+    fleet.SetMessageLoss(0.2);
+    for (int step = 0; step < 20; ++step) {
+      fleet.Run(milliseconds(100));
+      CHECK(fleet.ViewOf(0).OwnerNames().size() == kInstances);
+    }
+    fleet.SetMessageLoss(0);
+    fleet.Run(kDetectionTime);
+    CHECK(fleet.FindDifference().empty());
+  }
+}
+
 TEST_CASE("an instance restarted under the same address has a higher incarnation") {
   FleetSimulation fleet(kInstances, 4);
   fleet.Run(kJoinTime);
