--- a/src/gateway/internal/endpoint_feedback.cc
+++ b/src/gateway/internal/endpoint_feedback.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <utility>
 
 #include "gateway/endpoint_registry.h"
 
@@ -35,11 +34,6 @@
   state.stale_idle_until = now + kStaleIdleLifetime;
 }
 
-bool EndpointFeedback::RecordLeaving(EndpointState& state, net::SteadyTime now) {
-  state.said_leaving_at = now;
-  return !std::exchange(state.is_leaving, true);
-}
-
 void EndpointFeedback::RecordFull(EndpointState& state, net::SteadyTime now) {
   state.full_until = now + kFullPause;
 }
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -34,8 +34,6 @@
 constexpr double kUnseenOutsideGroup = 1000;
 // Entries that lapse while the store is away return within about two seconds of it.
 constexpr milliseconds kLeavingMemory{10000};
-// Several messages to each peer, because some datagrams are lost.
-constexpr milliseconds kLeavingAnnouncement{2000};
 constexpr double kZoneAdvantage = 0.02;  // only breaks ties in favour of the own zone
 
 bool IsUsable(const EndpointState& state, net::SteadyTime now) {
@@ -291,32 +289,6 @@
   }
 }
 
-std::vector<std::uint32_t> EndpointRegistry::SaidLeaving(net::SteadyTime now) const {
-  std::vector<std::uint32_t> incarnations;
-  for (const auto& [id, state] : this->endpoints) {
-    if (state->is_leaving && now - state->said_leaving_at < kLeavingAnnouncement) {
-      incarnations.push_back(state->incarnation);
-    }
-  }
-  return incarnations;
-}
-
-std::vector<std::string> EndpointRegistry::RecordPeerLeaving(
-    const std::vector<std::uint32_t>& incarnations) {
-  std::vector<std::string> marked;
-  if (incarnations.empty()) {
-    return marked;
-  }
-  for (const auto& [id, state] : this->endpoints) {
-    const bool said = std::find(incarnations.begin(), incarnations.end(), state->incarnation) !=
-                      incarnations.end();
-    if (said && !std::exchange(state->is_leaving, true)) {
-      marked.push_back(id);
-    }
-  }
-  return marked;
-}
-
 std::vector<EndpointLoad> EndpointRegistry::OwnLoads() const {
   std::vector<EndpointLoad> loads;
   for (const auto& [id, state] : this->endpoints) {
