Return the content type without a functional cast

Cause: clang-tidy takes std::string_view(text) in a conditional expression for a C-style cast. Change: an assignment in its place. Before: lint of attempt_machine.cc failed. After: it passes, with the online tests.

--- a/src/online/internal/attempt_machine.cc
+++ b/src/online/internal/attempt_machine.cc
@@ -39,7 +39,11 @@
   const auto found = std::find_if(headers.begin(), headers.end(), [](const auto& header) {
     return header.first == "content-type";
   });
-  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+  std::string_view type;
+  if (found != headers.end()) {
+    type = found->second;
+  }
+  return type;
 }
 
 bool IsNotSent(RetryReason reason) {
