Report that the address for peers' datagrams is in use

Cause: PeerExchange bound its socket in its constructor, which threw; the process aborted. Change: PeerExchange::Listen, one of the listeners that NodeProgram opens and reports (listen_failed). Before: node_path case "a second start with the same addresses ..." failed with exit code -6. After: it passes (exit code 1, listener=loads), with all node_path, peers and gateway tests and the soak.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -111,6 +111,7 @@
       {"callers", OpenListener(this->caller_listener, this->settings.callers)},
       {"readiness", this->readiness_server.Listen(this->settings.readiness)},
       {"peers", this->peer_server.Listen(PeerListener(this->settings))},
+      {"loads", this->peers.Listen()},
       {"metrics", this->metrics_server.Listen(metrics_address)}};
   bool usable = true;
   for (const auto& [name, error] : outcomes) {
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -35,13 +35,24 @@
                            std::string incarnation)
     : gateway(gateway),
       view(view),
-      socket(gateway.executor, local),
+      socket(gateway.executor),
       port(local.port()),
       own_address(local.address()),
       name(std::move(name)),
       incarnation(std::move(incarnation)),
-      send_timer(gateway.executor) {
-  this->socket.non_blocking(true);
+      send_timer(gateway.executor) {}
+
+net::ErrorCode PeerExchange::Listen() {
+  const net::asio::ip::udp::endpoint local(this->own_address, this->port);
+  net::ErrorCode error;
+  this->socket.open(local.protocol(), error);
+  if (!error) {
+    this->socket.bind(local, error);
+  }
+  if (!error) {
+    this->socket.non_blocking(true, error);
+  }
+  return error;
 }
 
 void PeerExchange::AddCandidate(const Address& address) {
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -23,6 +23,10 @@
                const net::asio::ip::udp::endpoint& local, std::string name,
                std::string incarnation);
 
+  /// Opens the socket for datagrams. Must succeed before Send() and Receive().
+  /// @return the error if the address can't be used.
+  [[nodiscard]] net::ErrorCode Listen();
+
   /// Adds an address where a node may run.
   void AddCandidate(const Address& address);
 
