Log what a leaving node takes and cuts, and the failure of any task

Change: request_while_leaving with the time left, request_cut for each request that the exit cuts, exits_in_ms in leaving; every detached task is started by net::Spawn, which logs task_failed. The count of requests in flight is the list of open requests. Before: none of these lines.

--- a/src/apps/node/auxiliary_server.cc
+++ b/src/apps/node/auxiliary_server.cc
@@ -2,6 +2,7 @@
 
 #include "net/log_line.h"
 #include "net/socket_options.h"
+#include "net/spawn.h"
 
 namespace lentilhead::node {
 
@@ -52,7 +53,7 @@
       co_await pause.async_wait(net::kAwaitWithError);
       continue;
     }
-    net::asio::co_spawn(this->executor, this->Serve(std::move(socket)), net::asio::detached);
+    net::Spawn(this->executor, "serve_connection", this->Serve(std::move(socket)));
   }
 }
 
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -11,6 +11,7 @@
 #include "gateway/internal/answers.h"
 #include "net/log_line.h"
 #include "net/log_sink.h"
+#include "net/spawn.h"
 #include "platform/job_codec.h"
 #include "platform/request_codec.h"
 #include "platform/settings_codec.h"
@@ -100,8 +101,8 @@
       signals(this->executor, SIGTERM, SIGINT, SIGHUP),
       settings_text(std::move(settings_text)) {}
 
-void NodeProgram::Spawn(awaitable<void> task) {
-  net::asio::co_spawn(this->executor, std::move(task), net::asio::detached);
+void NodeProgram::Spawn(std::string_view name, awaitable<void> task) {
+  net::Spawn(this->executor, name, std::move(task));
 }
 
 bool NodeProgram::OpenListeners() {
@@ -139,21 +140,22 @@
     return net::tcp::endpoint(peer, PeerListener(this->settings).port());
   });
   this->peers.SetStoreServed([this] { return this->store.IsServingThisNode(); });
-  this->Spawn(this->config_follower.Run());
-  this->Spawn(this->endpoint_follower.Run());
-  this->Spawn(this->node_follower.Run());
-  this->Spawn(this->claim_follower.Run());
-  this->Spawn(this->presence.Announce([this] { return this->job_service.OwnedCount() > 0; }));
-  this->Spawn(this->peers.Send());
-  this->Spawn(this->peers.Receive());
-  this->Spawn(this->view_relay.Run([this] { return this->IsStoreSilent(); }));
-  this->Spawn(this->Maintain());
-  this->Spawn(this->HandleSignals());
-  this->Spawn(this->job_service.Run());
-  this->Spawn(this->readiness_server.Run());
-  this->Spawn(this->peer_server.Run());
-  this->Spawn(this->metrics_server.Run());
-  this->Spawn(this->caller_server.Accept(this->caller_listener));
+  this->Spawn("follow_config", this->config_follower.Run());
+  this->Spawn("follow_endpoints", this->endpoint_follower.Run());
+  this->Spawn("follow_nodes", this->node_follower.Run());
+  this->Spawn("follow_claims", this->claim_follower.Run());
+  this->Spawn("announce",
+              this->presence.Announce([this] { return this->job_service.OwnedCount() > 0; }));
+  this->Spawn("send_to_peers", this->peers.Send());
+  this->Spawn("receive_from_peers", this->peers.Receive());
+  this->Spawn("relay_view", this->view_relay.Run([this] { return this->IsStoreSilent(); }));
+  this->Spawn("maintain", this->Maintain());
+  this->Spawn("handle_signals", this->HandleSignals());
+  this->Spawn("run_jobs", this->job_service.Run());
+  this->Spawn("serve_readiness", this->readiness_server.Run());
+  this->Spawn("serve_peers", this->peer_server.Run());
+  this->Spawn("serve_metrics", this->metrics_server.Run());
+  this->Spawn("accept_callers", this->caller_server.Accept(this->caller_listener));
 }
 
 int NodeProgram::Run() {
@@ -240,7 +242,7 @@
       net::LogLine("stop_again").With("in_flight", this->caller_server.RequestsInFlight());
       continue;
     }
-    this->Spawn(this->Leave());
+    this->Spawn("leave", this->Leave());
   }
 }
 
@@ -271,12 +273,14 @@
   const net::SteadyTime start = net::Now();
   this->gateway.stopping = true;
   this->peers.NoteChange();
+  const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
   net::LogLine("leaving")
       .With("in_flight", this->caller_server.RequestsInFlight())
       .With("sessions", this->caller_server.OpenConnections())
-      .With("jobs", this->job_service.OwnedCount());
+      .With("jobs", this->job_service.OwnedCount())
+      .With("exits_in_ms", net::ToMilliseconds(end - start).count());
   this->job_service.HandOver();
-  const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
+  this->gateway.exits_at = end;
   this->gateway.refuses_from = std::max(start + kListenerDrainTime, end - kLongestUsualRequest);
   net::asio::steady_timer timer(this->executor);
   while (net::Now() < end) {
@@ -291,6 +295,7 @@
     timer.expires_after(kLeavePollPeriod);
     co_await timer.async_wait(net::kAwaitWithError);
   }
+  this->caller_server.LogCutRequests();
   this->context.stop();
 }
 
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -32,7 +32,7 @@
  private:
   [[nodiscard]] bool OpenListeners();
   void SpawnTasks();
-  void Spawn(net::asio::awaitable<void> task);
+  void Spawn(std::string_view name, net::asio::awaitable<void> task);
   [[nodiscard]] rowstore::TableFollower MakeConfigFollower();
   [[nodiscard]] rowstore::TableFollower MakeEndpointFollower();
   [[nodiscard]] rowstore::TableFollower MakeNodeFollower();
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -6,6 +6,7 @@
 
 #include "gateway/caller_session.h"
 #include "gateway/gateway.h"
+#include "gateway/internal/open_requests.h"
 #include "gateway/types/routed_request.h"
 
 namespace lentilhead::gateway {
@@ -33,7 +34,10 @@
   [[nodiscard]] std::size_t OpenConnections() const { return this->sessions.size(); }
 
   /// Number of requests in flight.
-  [[nodiscard]] int RequestsInFlight() const { return this->in_flight; }
+  [[nodiscard]] std::size_t RequestsInFlight() const { return this->requests.All().size(); }
+
+  /// Logs the requests in flight, which the exit of the process cuts.
+  void LogCutRequests() const;
 
  private:
   net::asio::awaitable<void> Serve(std::shared_ptr<CallerSession> session);
@@ -51,7 +55,7 @@
   JobHandler jobs;
   std::function<bool(const InferenceRequest&)> is_job_call;
   std::set<std::shared_ptr<CallerSession>> sessions;
-  int in_flight = 0;
+  internal::OpenRequests requests;
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -26,6 +26,7 @@
   framework::Metrics metrics;
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
   bool stopping = false;          ///< the node is shutting down
+  net::SteadyTime exits_at = net::SteadyTime::max();  ///< latest exit of a node that shuts down
   /// From then on new requests are refused, since the process may exit before they end.
   net::SteadyTime refuses_from = net::SteadyTime::max();
 };
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -7,6 +7,7 @@
 #include "gateway/refusal_policy.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
+#include "net/spawn.h"
 #include "platform/request_codec.h"
 
 namespace lentilhead::gateway {
@@ -50,8 +51,7 @@
     auto [error, socket] = co_await acceptor.async_accept(net::kAwaitWithError);
     if (!error) {
       auto session = std::make_shared<CallerSession>(std::move(socket), this->gateway.stopping);
-      net::asio::co_spawn(this->gateway.executor, this->Serve(std::move(session)),
-                          net::asio::detached);
+      net::Spawn(this->gateway.executor, "serve_caller", this->Serve(std::move(session)));
       continue;
     }
     if (error == net::asio::error::operation_aborted) {
@@ -69,6 +69,15 @@
   }
 }
 
+void CallerServer::LogCutRequests() const {
+  for (const internal::OpenRequest& request : this->requests.All()) {
+    net::LogLine("request_cut")
+        .With("request", request.id)
+        .With("reason", "leaving")
+        .With("ms", net::ToMilliseconds(net::Now() - request.arrival).count());
+  }
+}
+
 awaitable<void> CallerServer::Serve(std::shared_ptr<CallerSession> session) {
   this->sessions.insert(session);
   while (session->IsOpen()) {
@@ -80,10 +89,8 @@
       session->Abort();
       break;
     }
-    ++this->in_flight;
     net::Request message = std::move(std::get<net::Request>(read));
     co_await this->Answer(*session, std::move(message));
-    --this->in_flight;
   }
   this->sessions.erase(session);
 }
@@ -122,6 +129,7 @@
   CancelScope cancel;
   session.StartWatch(cancel);
   InferenceRequest request = platform::DecodeRequest(std::move(message));
+  const internal::OpenRequests::Entry entry(this->requests, {request.id, net::Now(), cancel});
   co_await this->Dispatch(session, cancel, std::move(request));
   session.StopWatch();
 }
@@ -146,6 +154,12 @@
     co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
+  if (this->gateway.stopping) {
+    net::LogLine("request_while_leaving", net::LogImportance::kRoutine)
+        .With("request", request.id)
+        .With("taken", routed.arrival < this->gateway.refuses_from)
+        .With("left_ms", net::ToMilliseconds(this->gateway.exits_at - routed.arrival).count());
+  }
   if (routed.arrival >= this->gateway.refuses_from) {
     co_await this->RefuseUnrouted(session, request, "leaving", kLeavingRetryAfter);
     co_return;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -5,6 +5,7 @@
 #include "gateway/gateway.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
+#include "net/spawn.h"
 #include "platform/request_codec.h"
 
 namespace lentilhead::gateway::internal {
@@ -82,8 +83,8 @@
   held->sent_at = net::Now();
   held->stream.expires_at(limits.answer_by);
   auto shared_message = std::make_shared<net::Request>(std::move(message));
-  net::asio::co_spawn(this->gateway.executor, WriteRequest(held, std::move(shared_message)),
-                      net::asio::detached);
+  net::Spawn(this->gateway.executor, "write_request",
+             WriteRequest(held, std::move(shared_message)));
   StartOutcome outcome =
       co_await this->ReadHead(std::move(request_id), is_head_request, limits.answer_by);
   if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -5,6 +5,7 @@
 #include "jobs/job_service.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
+#include "net/spawn.h"
 #include "platform/job_codec.h"
 #include "platform/request_codec.h"
 
@@ -252,8 +253,7 @@
   attempt->started = net::Now();
   attempt->events_before = job->items.Progress(item).last_event.value_or(0);
   job->attempts.push_back(attempt);
-  net::asio::co_spawn(this->gateway.executor, this->RunItem(job, attempt, std::move(lease)),
-                      net::asio::detached);
+  net::Spawn(this->gateway.executor, "run_item", this->RunItem(job, attempt, std::move(lease)));
 }
 
 awaitable<void> JobService::RunItem(Job job, std::shared_ptr<internal::ItemAttempt> attempt,
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -6,6 +6,7 @@
 #include "jobs/internal/unix_time.h"
 #include "jobs/new_job_placement.h"
 #include "net/log_line.h"
+#include "net/spawn.h"
 
 namespace lentilhead::jobs {
 
@@ -186,7 +187,7 @@
         is_own ? 0 : this->presence.Groups().GroupsBefore(id));
     if (now - entry.orphan_since >= delay && !this->takeovers[id]) {
       this->takeovers[id] = true;
-      net::asio::co_spawn(this->gateway.executor, this->TakeOver(entry.claim), net::asio::detached);
+      net::Spawn(this->gateway.executor, "take_over_job", this->TakeOver(entry.claim));
     }
   }
 }
@@ -254,7 +255,7 @@
       this->SaveProgressIfDue(job, net::Now());
       if (job->items.HasUncommitted() && !job->is_committing && !job->is_dropped) {
         job->is_committing = true;
-        net::asio::co_spawn(this->gateway.executor, this->CommitResults(job), net::asio::detached);
+        net::Spawn(this->gateway.executor, "commit_results", this->CommitResults(job));
       }
     }
     for (int count = 0; count < kStartsPerTick && !this->gateway.stopping; ++count) {
@@ -283,8 +284,7 @@
     const bool is_first = TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation(),
                                                   this->presence.Groups().GroupsBefore(id));
     if (entry.claim.state != JobState::kOpen && is_old && is_first) {
-      net::asio::co_spawn(this->gateway.executor, this->RemoveJob(entry.claim),
-                          net::asio::detached);
+      net::Spawn(this->gateway.executor, "remove_job", this->RemoveJob(entry.claim));
       return;
     }
   }
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -3,6 +3,7 @@
 #include "jobs/internal/job_rows.h"
 #include "jobs/job_service.h"
 #include "net/log_line.h"
+#include "net/spawn.h"
 
 namespace lentilhead::jobs {
 
@@ -89,7 +90,7 @@
   }
   job->is_saving_progress = true;
   job->last_saved = now;
-  net::asio::co_spawn(this->gateway.executor, this->SaveProgress(job), net::asio::detached);
+  net::Spawn(this->gateway.executor, "save_progress", this->SaveProgress(job));
 }
 
 awaitable<void> JobService::SaveProgress(Job job) {
@@ -155,7 +156,7 @@
 void JobService::HandOver() {
   const std::map<std::string, Job> jobs = this->owned;
   for (const auto& [id, job] : jobs) {
-    net::asio::co_spawn(this->gateway.executor, this->HandOverJob(job), net::asio::detached);
+    net::Spawn(this->gateway.executor, "hand_over_job", this->HandOverJob(job));
   }
 }
 
--- a/src/jobs/internal/token_accounting.cc
+++ b/src/jobs/internal/token_accounting.cc
@@ -5,6 +5,7 @@
 #include "jobs/waiting_token_limit.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
+#include "net/spawn.h"
 
 namespace lentilhead::jobs {
 
@@ -108,8 +109,7 @@
     }
     if (TakeoverPolicy::IsFirst(id, alive, this->peers.Incarnation(),
                                 this->presence.Groups().GroupsBefore(id))) {
-      net::asio::co_spawn(this->gateway.executor, this->WithdrawAbandoned(claim),
-                          net::asio::detached);
+      net::Spawn(this->gateway.executor, "withdraw_submission", this->WithdrawAbandoned(claim));
     }
   }
 }
