Accept on a leaving node only what ends before its exit, and use the whole grace period

Cause: what a node accepted did not depend on how long it could take. A fixed time of 2.5 s stood for every request, and the exit came a fixed 1.2 s before the kill. Change: ShutdownPolicy compares the time in which a request is answered or given up in any case (the caller's deadline, the route's timeout, the limit of job calls) with the time left. While new connections still arrive it refuses only what usually lasts longer than that (RouteDurations). The exit leaves the time that closing takes, longer when the event loop lags (LoopLag), at most a sixth of the grace period. What is open then is ended: 503 if it was not sent, 502 if it may have run, a stream is broken after an event. The listener is closed before the process exits early.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -9,6 +9,7 @@
 
 #include "apps/node/metric_help.h"
 #include "gateway/internal/answers.h"
+#include "gateway/shutdown_policy.h"
 #include "net/log_line.h"
 #include "net/log_sink.h"
 #include "net/spawn.h"
@@ -27,12 +28,10 @@
 constexpr milliseconds kMaintenancePeriod{100};
 constexpr milliseconds kStallThreshold{700};        // longer than usual scheduling delays
 constexpr milliseconds kStoreSilenceTimeout{1100};  // after it, peers may provide the endpoints
-constexpr milliseconds kListenerDrainTime{3000};    // new connections still arrive in this time
-// New requests can still arrive when most nodes of a zone leave; few requests last longer.
-constexpr milliseconds kLongestUsualRequest{2500};
-constexpr milliseconds kExitMargin{1200};  // before the end of the stop's grace period
 constexpr milliseconds kLeavePollPeriod{50};
-constexpr int kSettingsCheckTicks = 10;  // maintenance periods between checks of the file
+constexpr milliseconds kClosePollPeriod{10};
+constexpr milliseconds kLongestClose{200};  // for the last answers before the exit
+constexpr int kSettingsCheckTicks = 10;     // maintenance periods between checks of the file
 
 std::chrono::nanoseconds BootTime() {
   timespec now{};
@@ -80,7 +79,7 @@
                  gateway::CancelScope&) {
             return this->job_api.Handle(std::move(request), std::move(facts));
           },
-          platform::IsJobCall),
+          jobs::JobApi::kLongestCall, platform::IsJobCall),
       config_follower(this->MakeConfigFollower()),
       endpoint_follower(this->MakeEndpointFollower()),
       node_follower(this->MakeNodeFollower()),
@@ -270,33 +269,71 @@
 }
 
 awaitable<void> NodeProgram::Leave() {
-  const net::SteadyTime start = net::Now();
+  gateway::ShutdownTimes& shutdown = this->gateway.shutdown;
+  shutdown.started = net::Now();
+  shutdown.exits_at = gateway::ShutdownPolicy::ExitAt(shutdown.started, this->settings.stop_grace,
+                                                      this->loop_lag.Longest());
   this->gateway.stopping = true;
   this->peers.NoteChange();
-  const net::SteadyTime end = start + this->settings.stop_grace - kExitMargin;
   net::LogLine("leaving")
       .With("in_flight", this->caller_server.RequestsInFlight())
       .With("sessions", this->caller_server.OpenConnections())
       .With("jobs", this->job_service.OwnedCount())
-      .With("exits_in_ms", net::ToMilliseconds(end - start).count());
+      .With("loop_lag_ms", this->loop_lag.Longest().count())
+      .With("exits_in_ms", net::ToMilliseconds(shutdown.exits_at - shutdown.started).count());
   this->job_service.HandOver();
-  this->gateway.exits_at = end;
-  this->gateway.refuses_from = std::max(start + kListenerDrainTime, end - kLongestUsualRequest);
+  co_await this->FinishRequests();
+  co_await this->EndRequests();
+  this->context.stop();
+}
+
+awaitable<void> NodeProgram::FinishRequests() {
+  gateway::ShutdownTimes& shutdown = this->gateway.shutdown;
   net::asio::steady_timer timer(this->executor);
-  while (net::Now() < end) {
-    const bool listener_drained = net::Now() - start >= kListenerDrainTime;
-    if (listener_drained) {
+  while (net::Now() < shutdown.exits_at) {
+    if (net::Now() - shutdown.started >= gateway::ShutdownPolicy::kListenerDrainTime) {
       this->caller_server.CloseIdle();
-      if (this->caller_server.RequestsInFlight() == 0 &&
-          this->caller_server.OpenConnections() == 0 && this->job_service.OwnedCount() == 0) {
-        break;
+      if (this->HasFinished()) {
+        co_return;
       }
     }
     timer.expires_after(kLeavePollPeriod);
     co_await timer.async_wait(net::kAwaitWithError);
+    this->loop_lag.Record(net::Now() - timer.expiry());
+    shutdown.exits_at = std::min(shutdown.exits_at, gateway::ShutdownPolicy::ExitAt(
+                                                        shutdown.started, this->settings.stop_grace,
+                                                        this->loop_lag.Longest()));
+  }
+}
+
+bool NodeProgram::HasFinished() {
+  const bool is_idle = this->caller_server.RequestsInFlight() == 0 &&
+                       this->caller_server.OpenConnections() == 0 &&
+                       this->job_service.OwnedCount() == 0;
+  if (is_idle && this->caller_listener.is_open()) {
+    // A connection that has been accepted just now is served before the next check.
+    net::ErrorCode ignored;  // the process exits in any case
+    this->caller_listener.close(ignored);
+    return false;
+  }
+  return is_idle;
+}
+
+awaitable<void> NodeProgram::EndRequests() {
+  if (this->caller_server.RequestsInFlight() == 0) {
+    co_return;
+  }
+  net::LogLine("requests_ended")
+      .With("reason", "leaving")
+      .With("count", this->caller_server.RequestsInFlight());
+  this->caller_server.EndRequests();
+  net::asio::steady_timer timer(this->executor);
+  const net::SteadyTime until = net::Now() + kLongestClose;
+  while (this->caller_server.RequestsInFlight() > 0 && net::Now() < until) {
+    timer.expires_after(kClosePollPeriod);
+    co_await timer.async_wait(net::kAwaitWithError);
   }
   this->caller_server.LogCutRequests();
-  this->context.stop();
 }
 
 void NodeProgram::RefreshAfterStall() {
@@ -310,6 +347,7 @@
   for (int ticks = 1;; ++ticks) {
     timer.expires_after(kMaintenancePeriod);
     co_await timer.async_wait(net::kAwaitWithError);
+    this->loop_lag.Record(net::Now() - timer.expiry());
     const std::chrono::nanoseconds now = BootTime();
     if (now - last > kStallThreshold) {
       net::LogLine("process_stalled").With("ms", net::ToMilliseconds(now - last).count());
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -10,6 +10,7 @@
 #include "gateway/types/node_settings.h"
 #include "jobs/job_api.h"
 #include "jobs/job_service.h"
+#include "net/loop_lag.h"
 #include "peers/cluster_view.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
@@ -44,6 +45,12 @@
   net::asio::awaitable<net::Response> AnswerMetrics(net::Request request);
   net::asio::awaitable<void> HandleSignals();
   net::asio::awaitable<void> Leave();
+  /// Waits until no request is open, or until the node must exit.
+  net::asio::awaitable<void> FinishRequests();
+  /// Whether nothing is left to do before the exit; closes the listener first.
+  [[nodiscard]] bool HasFinished();
+  /// Ends what is still open shortly before the exit.
+  net::asio::awaitable<void> EndRequests();
   net::asio::awaitable<void> Maintain();
   void UpdateGauges();
   /// Sets how often the claims are read: less often in a fleet of several groups, as the calls of
@@ -78,6 +85,7 @@
   AuxiliaryServer peer_server;
   AuxiliaryServer metrics_server;
   net::asio::signal_set signals;
+  net::LoopLag loop_lag;
   std::string settings_text;
   std::pair<std::uint64_t, std::uint64_t> group_versions;  ///< lists that the groups are made of
 };
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -19,9 +19,10 @@
 class CallerServer {
  public:
   /// @param jobs answers calls on batch jobs.
+  /// @param longest_job_call time after which every call on batch jobs has been answered.
   /// @param is_job_call tells whether a request is a call on an existing job, whose path matches
   ///   no route.
-  CallerServer(Gateway& gateway, JobHandler jobs,
+  CallerServer(Gateway& gateway, JobHandler jobs, std::chrono::milliseconds longest_job_call,
                std::function<bool(const InferenceRequest&)> is_job_call);
 
   /// Accepts connections until the acceptor is closed.
@@ -36,6 +37,9 @@
   /// Number of requests in flight.
   [[nodiscard]] std::size_t RequestsInFlight() const { return this->requests.All().size(); }
 
+  /// Ends the online requests in flight, each in the way that its caller can use best.
+  void EndRequests();
+
   /// Logs the requests in flight, which the exit of the process cuts.
   void LogCutRequests() const;
 
@@ -48,11 +52,15 @@
   net::asio::awaitable<void> RefuseUnrouted(CallerSession& session, const InferenceRequest& request,
                                             const char* reason,
                                             std::chrono::milliseconds retry_after);
+  /// Whether a node that shuts down accepts a request; logs the decision.
+  [[nodiscard]] bool AcceptsWhileLeaving(const InferenceRequest& request,
+                                         const RoutedRequest& routed) const;
   net::asio::awaitable<void> Dispatch(CallerSession& session, CancelScope& cancel,
                                       InferenceRequest request);
 
   Gateway& gateway;
   JobHandler jobs;
+  std::chrono::milliseconds longest_job_call;
   std::function<bool(const InferenceRequest&)> is_job_call;
   std::set<std::shared_ptr<CallerSession>> sessions;
   internal::OpenRequests requests;
--- a/src/gateway/cancel_scope.h
+++ b/src/gateway/cancel_scope.h
@@ -5,16 +5,26 @@
 
 namespace lentilhead::gateway {
 
-/// Cancels the work for a request whose answer is no longer needed.
+/// Why the work for a request was cancelled.
+enum class CancelCause {
+  kCallerGone,  ///< nobody waits for the answer any more
+  kNodeExit,    ///< the process is about to exit; the caller still waits
+};
+
+/// Cancels the work for a request.
 class CancelScope {
  public:
   [[nodiscard]] bool IsCancelled() const { return this->cancelled; }
 
+  /// Cause of the first cancellation.
+  [[nodiscard]] CancelCause Cause() const { return this->cause; }
+
   /// Cancels the work and ends its current wait. Cannot be undone.
-  void Cancel() {
+  void Cancel(CancelCause why = CancelCause::kCallerGone) {
     if (std::exchange(this->cancelled, true)) {
       return;
     }
+    this->cause = why;
     if (this->on_cancel) {
       const std::function<void()> action = std::exchange(this->on_cancel, nullptr);
       action();
@@ -33,6 +43,7 @@
 
  private:
   bool cancelled = false;
+  CancelCause cause = CancelCause::kCallerGone;
   std::function<void()> on_cancel;
 };
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -4,7 +4,9 @@
 #include "gateway/admission.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/internal/connection_pool.h"
+#include "gateway/route_durations.h"
 #include "gateway/route_table.h"
+#include "gateway/types/shutdown_times.h"
 
 namespace lentilhead::gateway {
 
@@ -26,9 +28,8 @@
   framework::Metrics metrics;
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
   bool stopping = false;          ///< the node is shutting down
-  net::SteadyTime exits_at = net::SteadyTime::max();  ///< latest exit of a node that shuts down
-  /// From then on new requests are refused, since the process may exit before they end.
-  net::SteadyTime refuses_from = net::SteadyTime::max();
+  ShutdownTimes shutdown;         ///< set when the node is shutting down
+  RouteDurations durations;       ///< of online requests
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -5,6 +5,7 @@
 #include "gateway/internal/answers.h"
 #include "gateway/internal/online_run.h"
 #include "gateway/refusal_policy.h"
+#include "gateway/shutdown_policy.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
 #include "net/spawn.h"
@@ -20,7 +21,6 @@
 
 constexpr milliseconds kDefaultDeadline{30000};   // if the caller states no deadline
 constexpr milliseconds kNotReadyRetryAfter{700};  // a starting node loads its state sooner
-constexpr milliseconds kLeavingRetryAfter{100};   // another node takes the caller then
 constexpr milliseconds kWriteTimeout{2000};
 constexpr milliseconds kAcceptRetryDelay{20};  // after an error such as no free descriptor
 
@@ -42,9 +42,12 @@
 
 }  // namespace
 
-CallerServer::CallerServer(Gateway& gateway, JobHandler jobs,
+CallerServer::CallerServer(Gateway& gateway, JobHandler jobs, milliseconds longest_job_call,
                            std::function<bool(const InferenceRequest&)> is_job_call)
-    : gateway(gateway), jobs(std::move(jobs)), is_job_call(std::move(is_job_call)) {}
+    : gateway(gateway),
+      jobs(std::move(jobs)),
+      longest_job_call(longest_job_call),
+      is_job_call(std::move(is_job_call)) {}
 
 awaitable<void> CallerServer::Accept(net::tcp::acceptor& acceptor) {
   while (acceptor.is_open()) {
@@ -69,6 +72,12 @@
   }
 }
 
+void CallerServer::EndRequests() {
+  for (const internal::OpenRequest& request : this->requests.All()) {
+    request.cancel.Cancel(CancelCause::kNodeExit);
+  }
+}
+
 void CallerServer::LogCutRequests() const {
   for (const internal::OpenRequest& request : this->requests.All()) {
     net::LogLine("request_cut")
@@ -145,6 +154,23 @@
   co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
 }
 
+bool CallerServer::AcceptsWhileLeaving(const InferenceRequest& request,
+                                       const RoutedRequest& routed) const {
+  RequestSpan span{net::ToMilliseconds(routed.deadline - routed.arrival), std::nullopt};
+  if (routed.route != nullptr) {
+    span.usual = this->gateway.durations.Average(routed.route->Key());
+  }
+  const ShutdownTimes& shutdown = this->gateway.shutdown;
+  const bool accepts = ShutdownPolicy::Accepts(shutdown, span, routed.arrival);
+  net::LogLine("request_while_leaving", net::LogImportance::kRoutine)
+      .With("request", request.id)
+      .With("accepted", accepts)
+      .With("left_ms", net::ToMilliseconds(shutdown.exits_at - routed.arrival).count())
+      .With("longest_ms", span.longest.count())
+      .With("usual_ms", span.usual ? span.usual->count() : -1);
+  return accepts;
+}
+
 awaitable<void> CallerServer::Dispatch(CallerSession& session, CancelScope& cancel,
                                        InferenceRequest request) {
   RoutedRequest routed;
@@ -154,16 +180,6 @@
     co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
-  if (this->gateway.stopping) {
-    net::LogLine("request_while_leaving", net::LogImportance::kRoutine)
-        .With("request", request.id)
-        .With("taken", routed.arrival < this->gateway.refuses_from)
-        .With("left_ms", net::ToMilliseconds(this->gateway.exits_at - routed.arrival).count());
-  }
-  if (routed.arrival >= this->gateway.refuses_from) {
-    co_await this->RefuseUnrouted(session, request, "leaving", kLeavingRetryAfter);
-    co_return;
-  }
   const bool on_job =
       this->gateway.routes.HasBatchRoute(request.host) && this->is_job_call(request);
   routed.route = on_job ? nullptr : this->gateway.routes.Match(request.host, request.path);
@@ -178,13 +194,19 @@
     co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
     co_return;
   }
-  if (on_job || routed.route->kind == RouteKind::kBatch) {
+  const bool is_job_request = on_job || routed.route->kind == RouteKind::kBatch;
+  routed.deadline = is_job_request ? routed.arrival + this->longest_job_call
+                                   : DeadlineOf(request, *routed.route, routed.arrival);
+  if (this->gateway.stopping && !this->AcceptsWhileLeaving(request, routed)) {
+    co_await this->RefuseUnrouted(session, request, "leaving", RefusalPolicy::kOtherNodeRetryAfter);
+    co_return;
+  }
+  if (is_job_request) {
     net::Response response = co_await this->jobs(std::move(request), std::move(routed), cancel);
     co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
     co_return;
   }
   routed.service = RouteTable::PickService(*routed.route, net::RandomFraction());
-  routed.deadline = DeadlineOf(request, *routed.route, routed.arrival);
   routed.request = std::move(request);
   internal::OnlineRun run(this->gateway, session, cancel, std::move(routed));
   co_await run.Run();
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -30,7 +30,7 @@
       kMaxBufferedAnswerBytes,
       AttemptPolicy::AnswerDeadline(*this->routed.route, start, this->routed.deadline, may_retry));
   if (this->cancel.IsCancelled()) {
-    co_return Step::kDone;
+    co_return Step::kCancelled;
   }
   if (body.state == BodyState::kBroken || body.state == BodyState::kTimedOut) {
     co_return co_await this->AfterFailure(lease, "body_cut");
@@ -78,6 +78,9 @@
       break;
     }
     piece = co_await attempt.ReadPiece(this->routed.deadline);
+    if (this->cancel.IsCancelled()) {
+      co_return Step::kCancelled;
+    }
   }
   if (!sent || piece.state != BodyState::kEnd) {
     co_await this->Fail(status::bad_gateway, sent ? "body_cut" : "caller_closed");
@@ -151,7 +154,7 @@
     StreamPart part = co_await stream.Read(until);
     this->unfinished_bytes = stream.UnfinishedBytes();
     if (this->cancel.IsCancelled()) {
-      co_return Step::kDone;
+      co_return Step::kCancelled;
     }
     if (!part.events.empty()) {
       const net::SteadyTime arrival = net::Now();
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -36,8 +36,12 @@
   this->gateway.metrics
       .GetCounter("gateway_requests_total", {{"outcome", outcome}, {"reason", std::string(reason)}})
       .Add();
+  const auto duration = net::Now() - this->routed.arrival;
   this->gateway.metrics.GetLatency("gateway_request_seconds", {{"outcome", outcome}})
-      .Record(net::Now() - this->routed.arrival);
+      .Record(duration);
+  if (std::string_view(outcome) == "served") {
+    this->gateway.durations.Record(this->routed.route->Key(), net::ToMilliseconds(duration));
+  }
 }
 
 void OnlineRun::LogOutcome(std::string_view outcome, std::string_view reason, int status) {
@@ -68,6 +72,10 @@
 }
 
 awaitable<void> OnlineRun::Refuse(std::string_view reason) {
+  co_await this->Refuse(reason, RefusalPolicy::RetryAfter(net::RandomFraction()));
+}
+
+awaitable<void> OnlineRun::Refuse(std::string_view reason, milliseconds wait) {
   if (this->stream_begun) {
     this->Count("cut", reason);
     this->LogOutcome("cut", reason, 0);
@@ -78,7 +86,6 @@
     co_await this->Fail(status::bad_gateway, reason);
     co_return;
   }
-  const milliseconds wait = RefusalPolicy::RetryAfter(net::RandomFraction());
   this->Count("refused", reason);
   net::LogLine("request_refused")
       .With("request", this->routed.request.id)
@@ -134,10 +141,18 @@
     }
     step = co_await this->TryEndpoint(std::move(admitted.lease));
   }
-  if (this->cancel.IsCancelled()) {
-    this->Count("gone", "caller_closed");
-    this->LogOutcome("gone", "caller_closed", 0);
+  if (step != Step::kDone) {
+    co_await this->EndCancelled();
+  }
+}
+
+awaitable<void> OnlineRun::EndCancelled() {
+  if (this->cancel.Cause() == CancelCause::kNodeExit) {
+    co_await this->Refuse("leaving", RefusalPolicy::kOtherNodeRetryAfter);
+    co_return;
   }
+  this->Count("gone", "caller_closed");
+  this->LogOutcome("gone", "caller_closed", 0);
 }
 
 void OnlineRun::LogAttempt(const EndpointState& endpoint, net::SteadyTime now) {
@@ -173,14 +188,16 @@
   AttemptLimits limits{AttemptPolicy::AnswerDeadline(route, now, this->routed.deadline, may_retry),
                        this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime};
   EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
+  const auto* failure = std::get_if<AttemptFailure>(&outcome);
+  if (failure != nullptr && *failure != AttemptFailure::kNotSent) {
+    ++this->record.sent;
+    this->record.maybe_run = true;
+  }
   if (this->cancel.IsCancelled()) {
-    co_return Step::kDone;
+    this->record.maybe_run = this->record.maybe_run || failure == nullptr;
+    co_return Step::kCancelled;
   }
-  if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
-    if (*failure != AttemptFailure::kNotSent) {
-      ++this->record.sent;
-      this->record.maybe_run = true;
-    }
+  if (failure != nullptr) {
     const std::string_view cause = NameOf(*failure);
     co_return co_await this->AfterFailure(lease, cause);
   }
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -22,7 +22,11 @@
   net::asio::awaitable<void> Run();
 
  private:
-  enum class Step { kDone, kRetry };
+  enum class Step {
+    kDone,       ///< the caller has the final answer or has disconnected
+    kRetry,      ///< another attempt follows
+    kCancelled,  ///< the request was cancelled before its final answer
+  };
 
   /// Answers up to this size are received completely before any byte is forwarded, so that a
   /// failure can still lead to a retry. Most answers are far smaller.
@@ -49,8 +53,10 @@
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
   net::asio::awaitable<void> Refuse(std::string_view reason);
+  net::asio::awaitable<void> Refuse(std::string_view reason, std::chrono::milliseconds wait);
   net::asio::awaitable<void> Fail(net::http::status status, std::string_view reason);
   net::asio::awaitable<void> EndAtDeadline();
+  net::asio::awaitable<void> EndCancelled();
 
   [[nodiscard]] bool MayRetry() const;
   [[nodiscard]] net::SteadyTime WriteLimit() const;
--- /dev/null
+++ b/src/gateway/internal/shutdown_policy.cc
@@ -0,0 +1,36 @@
+#include "gateway/shutdown_policy.h"
+
+#include <algorithm>
+
+namespace lentilhead::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kCloseTime{400};  // to end the open requests and to exit, on an idle machine
+// The stop signal, the answers and the exit may each be delayed by the event loop.
+constexpr int kDelayedSteps = 3;
+// A request that runs into the last part of the grace period may be cut.
+constexpr int kLastPartOfGrace = 6;
+
+}  // namespace
+
+net::SteadyTime ShutdownPolicy::ExitAt(net::SteadyTime started, milliseconds grace,
+                                       milliseconds lag) {
+  const milliseconds margin = kCloseTime + kDelayedSteps * lag;
+  return started + grace - std::min(margin, grace / kLastPartOfGrace);
+}
+
+bool ShutdownPolicy::Accepts(const ShutdownTimes& times, const RequestSpan& request,
+                             net::SteadyTime now) {
+  const auto left = times.exits_at - now;
+  if (request.longest <= left) {
+    return true;
+  }
+  const bool is_draining_listener = now < times.started + kListenerDrainTime;
+  const bool usually_ends = !request.usual || *request.usual <= left;
+  return is_draining_listener && left > milliseconds(0) && usually_ends;
+}
+
+}  // namespace lentilhead::gateway
--- a/src/gateway/refusal_policy.h
+++ b/src/gateway/refusal_policy.h
@@ -10,6 +10,9 @@
 /// Decides how long a request waits for a free slot, and when a refused caller is to retry.
 class RefusalPolicy {
  public:
+  /// Retry-After of a node that leaves: another node can take the caller at once.
+  static constexpr std::chrono::milliseconds kOtherNodeRetryAfter{100};
+
   /// Time until which a request waits for a free slot.
   [[nodiscard]] static net::SteadyTime WaitUntil(const Route& route, net::SteadyTime wait_start,
                                                  net::SteadyTime deadline);
--- a/src/gateway/types/routed_request.h
+++ b/src/gateway/types/routed_request.h
@@ -15,7 +15,8 @@
   const Route* route = nullptr;                 ///< null for a call on an existing job
   std::string service;  ///< service picked for an online request; empty for batch jobs
   net::SteadyTime arrival;
-  net::SteadyTime deadline;  ///< online requests: the earlier of the caller's and the route's
+  /// Online requests: the earlier of the caller's and the route's; batch jobs: the latest answer.
+  net::SteadyTime deadline;
 
   /// Whether the request may run more than once. The route must not be null.
   [[nodiscard]] bool IsRepeatable() const {
--- a/src/jobs/internal/job_api.cc
+++ b/src/jobs/internal/job_api.cc
@@ -16,9 +16,9 @@
 using std::chrono::milliseconds;
 
 // Shorter than the time that submitters wait for an answer.
-constexpr milliseconds kSubmitTimeout{2500};
+constexpr milliseconds kSubmitTimeout = JobApi::kLongestCall;
 constexpr milliseconds kReadTimeout{1200};
-constexpr milliseconds kEndTimeout{2500};
+constexpr milliseconds kEndTimeout = JobApi::kLongestCall;
 constexpr milliseconds kRetryAfter{500};
 // With the position appended, a row's key stays within the limit of the store.
 constexpr std::size_t kMaxIdBytes = 120;
--- a/src/jobs/job_api.h
+++ b/src/jobs/job_api.h
@@ -11,6 +11,9 @@
 /// Serves the calls on batch jobs: submit, read results, read an item's body, end.
 class JobApi {
  public:
+  /// Every call has been answered after this time.
+  static constexpr std::chrono::milliseconds kLongestCall{2500};
+
   JobApi(gateway::Gateway& gateway, JobStore& store, JobService& service, std::string owner);
 
   /// Handles a call and returns its answer.
