Stay with a silent endpoint until another one takes the request over

What callers saw: a stream was cut about a second after its last event, or a late answer was replaced by 502, though the endpoint was sound and went on. Cause: a silent endpoint was given up before it was known that another one could take the rest. A begun stream whose next attempt found every slot taken, or was refused, had no way left but the cut. Change: after the same time of silence the request leaves only for a healthy endpoint with a free slot, which it then holds (SilenceWatch); else it stays and looks again every 100 ms. A request that has begun waits for a slot up to its deadline, and the refusal of an endpoint does not use up its attempts.

--- a/src/gateway/attempt_policy.h
+++ b/src/gateway/attempt_policy.h
@@ -21,12 +21,13 @@
   [[nodiscard]] static bool MayRetry(const Route& route, const AttemptRecord& record,
                                      bool repeatable);
 
-  /// Time by which an endpoint must have begun its answer; the attempt times out then.
-  /// @param may_retry the request may be sent to another endpoint after the timeout.
+  /// Time from which an endpoint that has not begun its answer counts as silent. Another endpoint
+  /// is tried then if one can take the request; otherwise the endpoint may still answer.
+  /// @param may_retry the request may be sent to another endpoint.
   [[nodiscard]] static net::SteadyTime AnswerDeadline(const Route& route, net::SteadyTime now,
                                                       net::SteadyTime deadline, bool may_retry);
 
-  /// Time by which the next event of a stream must have been received.
+  /// Time from which an endpoint counts as silent if the next event of a stream is still missing.
   [[nodiscard]] static net::SteadyTime NextEventDeadline(const Route& route, net::SteadyTime now,
                                                          net::SteadyTime deadline, bool may_retry);
 };
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -42,6 +42,12 @@
                                  CancelScope& cancel)
     : gateway(gateway), endpoint(std::move(endpoint)), cancel(cancel) {}
 
+void EndpointAttempt::Interrupt() {
+  if (this->connection) {
+    this->connection->stream.close();
+  }
+}
+
 void EndpointAttempt::Abort() {
   this->cancel.OnCancel(nullptr);
   if (this->connection) {
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -72,6 +72,9 @@
   /// @param until time limit of the read.
   net::asio::awaitable<BodyPiece> ReadRest(std::size_t most, net::SteadyTime until);
 
+  /// Ends the read in progress, which then fails.
+  void Interrupt();
+
   /// Closes the connection.
   void Abort();
 
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -208,6 +208,7 @@
 
 Choice EndpointRegistry::ChooseAmong(const ChoiceRequest& request, Scope scope,
                                      double median_latency_ms, net::SteadyTime now) const {
+  const bool needs_healthy = request.work == WorkClass::kBatch || request.only_healthy;
   NoChoice reason = NoChoice::kNoUsable;
   Health best_health = Health::kUnreachable;
   bool any_reachable = false;
@@ -226,7 +227,7 @@
     const Health health = HealthOf(*state, now);
     any_reachable = any_reachable || health != Health::kUnreachable;
     if (!HasCapacity(*state, request.work, EstimatedTotal(*state, now)) || health < best_health ||
-        (health != Health::kHealthy && request.work == WorkClass::kBatch)) {
+        (health != Health::kHealthy && needs_healthy)) {
       continue;
     }
     if (health > best_health) {
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -26,9 +26,12 @@
                                                          AnswerHead answer) {
   const net::SteadyTime start = net::Now();
   const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
-  BodyPiece body = co_await attempt.ReadRest(
-      kMaxBufferedAnswerBytes,
-      AttemptPolicy::AnswerDeadline(*this->routed.route, start, this->routed.deadline, may_retry));
+  if (may_retry) {
+    this->silence.Start(
+        AttemptPolicy::AnswerDeadline(*this->routed.route, start, this->routed.deadline, true));
+  }
+  BodyPiece body = co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->routed.deadline);
+  this->silence.Stop();
   if (this->cancel.IsCancelled()) {
     co_return Step::kCancelled;
   }
@@ -146,12 +149,15 @@
   while (true) {
     const net::SteadyTime now = net::Now();
     const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
-    const net::SteadyTime until =
-        this->stream_begun ? AttemptPolicy::NextEventDeadline(*this->routed.route, now,
-                                                              this->routed.deadline, may_retry)
-                           : AttemptPolicy::AnswerDeadline(*this->routed.route, now,
-                                                           this->routed.deadline, may_retry);
-    StreamPart part = co_await stream.Read(until);
+    if (may_retry) {
+      this->silence.Start(this->stream_begun
+                              ? AttemptPolicy::NextEventDeadline(*this->routed.route, now,
+                                                                 this->routed.deadline, true)
+                              : AttemptPolicy::AnswerDeadline(*this->routed.route, now,
+                                                              this->routed.deadline, true));
+    }
+    StreamPart part = co_await stream.Read(this->routed.deadline);
+    const bool was_silent = this->silence.Stop();
     this->unfinished_bytes = stream.UnfinishedBytes();
     if (this->cancel.IsCancelled()) {
       co_return Step::kCancelled;
@@ -174,8 +180,8 @@
     if (part.state == StreamState::kComplete) {
       co_return co_await this->EndStream(answer);
     }
-    if (part.state != StreamState::kMore) {
-      const bool silent = part.state == StreamState::kTimedOut;
+    if (was_silent || part.state != StreamState::kMore) {
+      const bool silent = was_silent || part.state == StreamState::kTimedOut;
       const std::string_view cause = silent ? kSilentStreamCause : std::string_view("stream_cut");
       co_return co_await this->AfterFailure(lease, cause);
     }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -19,12 +19,18 @@
 // Requests that must not run twice reuse only connections that have been idle for less: endpoints
 // do not close these.
 constexpr milliseconds kSafeIdleTime{200};
+// Until a request that has begun is sent again after every endpoint refused or failed.
+constexpr milliseconds kRepeatPause{100};
 
 }  // namespace
 
 OnlineRun::OnlineRun(Gateway& gateway, CallerSession& session, CancelScope& cancel,
                      RoutedRequest routed)
-    : gateway(gateway), session(session), cancel(cancel), routed(std::move(routed)) {
+    : gateway(gateway),
+      session(session),
+      cancel(cancel),
+      routed(std::move(routed)),
+      silence(gateway.executor, [this] { return this->LeaveSilentEndpoint(); }) {
   this->last_event = this->routed.request.last_event_id;
 }
 
@@ -118,6 +124,51 @@
   }
 }
 
+awaitable<void> OnlineRun::Pause(milliseconds span) {
+  net::asio::steady_timer timer(this->gateway.executor, span);
+  this->cancel.OnCancel([&timer] { timer.cancel(); });
+  if (!this->cancel.IsCancelled()) {
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+  this->cancel.OnCancel(nullptr);
+}
+
+awaitable<AdmissionOutcome> OnlineRun::AcquireSlot() {
+  if (this->next) {
+    co_return AdmissionOutcome{std::move(this->next), NoChoice::kChosen};
+  }
+  const net::SteadyTime until =
+      this->HasBegun()
+          ? this->routed.deadline
+          : RefusalPolicy::WaitUntil(*this->routed.route, net::Now(), this->routed.deadline);
+  ChoiceRequest choice{this->routed.service, this->tried, WorkClass::kOnline};
+  AdmissionOutcome admitted = co_await this->gateway.admission.Acquire(
+      choice, this->routed.route->priority, until, this->cancel);
+  const bool has_tried_all = admitted.reason == NoChoice::kNoUsable && !this->tried.empty();
+  if (admitted.lease || !has_tried_all || !this->stream_begun) {
+    co_return admitted;
+  }
+  this->tried.clear();
+  co_await this->Pause(kRepeatPause);
+  choice.excluded.clear();
+  co_return co_await this->gateway.admission.Acquire(
+      std::move(choice), this->routed.route->priority, until, this->cancel);
+}
+
+bool OnlineRun::LeaveSilentEndpoint() {
+  if (!std::exchange(this->silence_recorded, true)) {
+    EndpointFeedback::RecordFailure(*this->endpoint, net::Now(), true);
+  }
+  const ChoiceRequest choice{this->routed.service, this->tried, WorkClass::kOnline, true};
+  AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
+  if (!admitted.lease) {
+    return false;
+  }
+  this->next = std::move(admitted.lease);
+  this->attempt->Interrupt();
+  return true;
+}
+
 awaitable<void> OnlineRun::Run() {
   Step step = Step::kRetry;
   while (step == Step::kRetry && !this->cancel.IsCancelled()) {
@@ -126,11 +177,7 @@
       co_await this->EndAtDeadline();
       co_return;
     }
-    const net::SteadyTime until =
-        RefusalPolicy::WaitUntil(*this->routed.route, now, this->routed.deadline);
-    ChoiceRequest choice{this->routed.service, this->tried, WorkClass::kOnline};
-    AdmissionOutcome admitted = co_await this->gateway.admission.Acquire(
-        std::move(choice), this->routed.route->priority, until, this->cancel);
+    AdmissionOutcome admitted = co_await this->AcquireSlot();
     if (this->cancel.IsCancelled()) {
       break;
     }
@@ -185,9 +232,18 @@
   EndpointFeedback::RecordAttempt(lease.Endpoint(), now);
   this->LogAttempt(lease.Endpoint(), now);
   EndpointAttempt attempt(this->gateway, lease.Shared(), this->cancel);
-  AttemptLimits limits{AttemptPolicy::AnswerDeadline(route, now, this->routed.deadline, may_retry),
-                       this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime};
+  this->attempt = &attempt;
+  this->endpoint = &lease.Endpoint();
+  this->silence_recorded = false;
+  const AttemptLimits limits{this->routed.deadline,
+                             this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime};
+  if (may_retry) {
+    this->silence.Start(AttemptPolicy::AnswerDeadline(route, now, this->routed.deadline, true));
+  }
   EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
+  if (this->silence.Stop()) {
+    outcome = AttemptFailure::kTimedOut;
+  }
   const auto* failure = std::get_if<AttemptFailure>(&outcome);
   if (failure != nullptr && *failure != AttemptFailure::kNotSent) {
     ++this->record.sent;
@@ -230,7 +286,7 @@
   const bool unreachable = cause == NameOf(AttemptFailure::kNotSent) ||
                            cause == NameOf(AttemptFailure::kTimedOut) ||
                            cause == kSilentStreamCause;
-  if (cause != NameOf(AttemptFailure::kStale)) {
+  if (cause != NameOf(AttemptFailure::kStale) && !this->silence_recorded) {
     EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), unreachable);
   }
   this->gateway.metrics
@@ -280,6 +336,11 @@
   if (had_free_slot) {
     EndpointFeedback::RecordErrorAnswer(lease.Endpoint(), net::Now());
   }
+  if (this->HasBegun() && this->routed.IsRepeatable()) {
+    this->tried = {this->last_endpoint};
+    co_await this->Pause(kRepeatPause);
+    co_return Step::kRetry;
+  }
   ++this->record.sent;
   if (this->MayRetry() && net::Now() < this->routed.deadline) {
     co_return Step::kRetry;
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -9,6 +9,7 @@
 #include "gateway/gateway.h"
 #include "gateway/internal/endpoint_attempt.h"
 #include "gateway/internal/event_splitter.h"
+#include "gateway/internal/silence_watch.h"
 #include "gateway/types/routed_request.h"
 
 namespace lentilhead::gateway::internal {
@@ -33,6 +34,7 @@
   static constexpr std::size_t kMaxBufferedAnswerBytes = 256 << 10;
   static constexpr std::string_view kSilentStreamCause = "stream_silent";
 
+  net::asio::awaitable<AdmissionOutcome> AcquireSlot();
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
   net::asio::awaitable<EndpointAttempt::StartOutcome> StartAttempt(EndpointAttempt& attempt,
                                                                    const net::Request& message,
@@ -58,7 +60,13 @@
   net::asio::awaitable<void> EndAtDeadline();
   net::asio::awaitable<void> EndCancelled();
 
+  net::asio::awaitable<void> Pause(std::chrono::milliseconds span);
+
   [[nodiscard]] bool MayRetry() const;
+  /// Whether the caller can no longer be told that the request has not run.
+  [[nodiscard]] bool HasBegun() const { return this->stream_begun || this->record.maybe_run; }
+  /// Leaves the silent endpoint for another one that can take the request, if there is one.
+  [[nodiscard]] bool LeaveSilentEndpoint();
   [[nodiscard]] net::SteadyTime WriteLimit() const;
   void Count(const char* outcome, std::string_view reason);
   void LogAttempt(const EndpointState& endpoint, net::SteadyTime now);
@@ -71,6 +79,11 @@
   AttemptRecord record;
   std::vector<std::string> tried;
   std::string last_endpoint;
+  EndpointAttempt* attempt = nullptr;  ///< in progress
+  EndpointState* endpoint = nullptr;   ///< of that attempt
+  bool silence_recorded = false;       ///< for that attempt
+  EndpointLease next;                  ///< slot at the endpoint that takes over from a silent one
+  SilenceWatch silence;
   bool stream_begun = false;
   std::optional<AnswerFraming> framing;  ///< of the last streamed answer
   std::size_t unfinished_bytes = 0;      ///< of that answer, after its last complete event
--- a/src/gateway/tests/endpoint_registry_test.cc
+++ b/src/gateway/tests/endpoint_registry_test.cc
@@ -251,6 +251,17 @@
   CHECK(state.IdleLimit(kStart + std::chrono::minutes(1)) == milliseconds::max());
 }
 
+TEST_CASE("no suspected endpoint takes over from a silent one") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  ChoiceRequest request = Online();
+  request.only_healthy = true;
+  CHECK(registry.Choose(request, kStart).endpoint->entry.id == "one");
+  EndpointFeedback::RecordFailure(StateOf(registry, "one"), kStart, false);
+  CHECK(registry.Choose(request, kStart).endpoint == nullptr);
+  CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "one");
+}
+
 TEST_CASE("a restarted endpoint with the same id has no load and is not suspected") {
   EndpointRegistry registry("a");
   registry.Put(Entry("one"));
--- a/src/gateway/types/choice_request.h
+++ b/src/gateway/types/choice_request.h
@@ -13,6 +13,7 @@
   std::vector<std::string>
       excluded;  ///< ids of endpoints not to choose, such as those already tried
   WorkClass work = WorkClass::kOnline;
+  bool only_healthy = false;  ///< rather none than an endpoint that is suspected
 };
 
 }  // namespace lentilhead::gateway
