Close the connection of a request whose task fails

Cause: an exception ended the task of the connection, which kept its entry in the list of sessions, and with it its socket. Change: the session is aborted and leaves the list; the failure is logged by its spawner. Before: caller_server_test fails (1 open connection, no end of stream). After: passes.

--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -89,6 +89,17 @@
 
 awaitable<void> CallerServer::Serve(std::shared_ptr<CallerSession> session) {
   this->sessions.insert(session);
+  try {
+    co_await this->ServeRequests(session);
+  } catch (...) {
+    session->Abort();
+    this->sessions.erase(session);
+    throw;  // the spawner logs it
+  }
+  this->sessions.erase(session);
+}
+
+awaitable<void> CallerServer::ServeRequests(std::shared_ptr<CallerSession> session) {
   while (session->IsOpen()) {
     const CallerLimits limits =
         this->gateway.routes.Config() ? this->gateway.routes.Config()->limits : CallerLimits{};
@@ -101,7 +112,6 @@
     net::Request message = std::move(std::get<net::Request>(read));
     co_await this->Answer(*session, std::move(message));
   }
-  this->sessions.erase(session);
 }
 
 awaitable<void> CallerServer::AnswerProblem(CallerSession& session, ReadProblem problem) {
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -205,6 +205,7 @@
 
 void CallerSession::Abort() {
   this->is_open = false;
+  this->watched = nullptr;
   this->stream.close();
 }
 
--- /dev/null
+++ b/src/gateway/tests/caller_server_test.cc
@@ -0,0 +1,55 @@
+#include "gateway/caller_server.h"
+
+#include <doctest/doctest.h>
+
+#include <stdexcept>
+#include <string>
+
+namespace lentilhead::gateway {
+namespace {
+
+namespace asio = net::asio;
+using std::chrono::milliseconds;
+
+constexpr char kRequest[] = "GET /job HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::shared_ptr<const ServingConfig> ConfigWithBatchRoute() {
+  Route route;
+  route.host = "h";
+  route.path_prefix = "/batch/";
+  route.kind = RouteKind::kBatch;
+  auto config = std::make_shared<ServingConfig>();
+  config->version = 1;
+  config->routes.push_back(std::move(route));
+  return config;
+}
+
+TEST_CASE("a connection is closed, not left without an answer, when its request's task fails") {
+  asio::io_context loop{1};
+  Gateway gateway(loop.get_executor(), "a");
+  gateway.routes.Adopt(ConfigWithBatchRoute());
+  gateway.endpoints_loaded = true;
+  CallerServer server(
+      gateway,
+      [](InferenceRequest, RoutedRequest, CancelScope&) -> asio::awaitable<net::Response> {
+        throw std::runtime_error("out of memory");
+      },
+      milliseconds(1000), [](const InferenceRequest&) { return true; });
+  net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  net::tcp::socket caller(loop);
+  caller.connect(acceptor.local_endpoint());
+  asio::co_spawn(loop, server.Accept(acceptor), asio::detached);
+  asio::write(caller, asio::buffer(std::string(kRequest)));
+  loop.run_for(milliseconds(50));
+
+  CHECK(server.RequestsInFlight() == 0);
+  CHECK(server.OpenConnections() == 0);
+  caller.non_blocking(true);
+  char byte = 0;
+  net::ErrorCode error;
+  caller.read_some(asio::buffer(&byte, 1), error);
+  CHECK(error == asio::error::eof);
+}
+
+}  // namespace
+}  // namespace lentilhead::gateway
