Let no request that waits for some endpoints block the queue of its service

Cause: a queued request that may not use the endpoints it has tried was taken as a sign that its whole service is full. Change: only a request without excluded endpoints tells that a service is full or has a queue. After: admission_test passes.

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -44,6 +44,8 @@
     AdmissionOutcome outcome;
   };
 
+  /// Whether a request must queue behind another one of its service.
+  [[nodiscard]] bool HasQueue(const std::string& service) const;
   EndpointLease MakeLease(std::shared_ptr<EndpointState> endpoint, WorkClass work);
   std::list<Ticket*>::iterator Enqueue(Ticket& ticket);
 
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -32,6 +32,13 @@
   return this->waiting.insert(later, &ticket);
 }
 
+bool Admission::HasQueue(const std::string& service) const {
+  // A request that excludes endpoints may wait while one of those has a free slot.
+  return std::any_of(this->waiting.begin(), this->waiting.end(), [&](const Ticket* ticket) {
+    return ticket->request.service == service && ticket->request.excluded.empty();
+  });
+}
+
 std::size_t Admission::Waiting(const std::string& service) const {
   return static_cast<std::size_t>(
       std::count_if(this->waiting.begin(), this->waiting.end(),
@@ -40,7 +47,7 @@
 
 awaitable<AdmissionOutcome> Admission::Acquire(ChoiceRequest request, int priority,
                                                net::SteadyTime until, CancelScope& cancel) {
-  if (this->Waiting(request.service) == 0) {
+  if (!this->HasQueue(request.service)) {
     AdmissionOutcome outcome = this->TryAcquire(request);
     if (outcome.reason != NoChoice::kAllFull) {
       co_return outcome;
@@ -67,10 +74,10 @@
       continue;
     }
     ticket->outcome = this->TryAcquire(ticket->request);
-    if (ticket->outcome.reason == NoChoice::kAllFull) {
-      full.push_back(service);
-    } else {
+    if (ticket->outcome.reason != NoChoice::kAllFull) {
       ticket->timer->cancel();
+    } else if (ticket->request.excluded.empty()) {
+      full.push_back(service);
     }
   }
 }
--- /dev/null
+++ b/src/gateway/tests/admission_test.cc
@@ -0,0 +1,76 @@
+#include "gateway/admission.h"
+
+#include <doctest/doctest.h>
+
+namespace lentilhead::gateway {
+namespace {
+
+namespace asio = net::asio;
+using std::chrono::milliseconds;
+
+/// Two endpoints of a service, one of them full, and requests that wait for slots there.
+class AdmissionFixture {
+ public:
+  AdmissionFixture() {
+    for (const char* id : {"free", "full"}) {
+      EndpointEntry entry;
+      entry.id = id;
+      entry.service = "svc";
+      entry.slots = 1;
+      this->registry.Put(entry);
+    }
+    this->registry.All().at("full")->own_online = 2;
+  }
+
+  void Request(std::vector<std::string> excluded, AdmissionOutcome& outcome) {
+    asio::co_spawn(this->loop, this->Acquire(std::move(excluded), outcome), asio::detached);
+  }
+
+  asio::awaitable<void> Acquire(std::vector<std::string> excluded, AdmissionOutcome& outcome) {
+    ChoiceRequest request{"svc", std::move(excluded), WorkClass::kOnline};
+    outcome = co_await this->admission.Acquire(std::move(request), 0,
+                                               net::Now() + milliseconds(200), this->cancel);
+  }
+
+  asio::io_context loop{1};
+  EndpointRegistry registry{"a"};
+  Admission admission{loop.get_executor(), registry};
+  CancelScope cancel;
+};
+
+TEST_CASE("a request that waits for another endpoint does not keep others from a free slot") {
+  AdmissionFixture fixture;
+  AdmissionOutcome waiting;
+  AdmissionOutcome next;
+  fixture.Request({"free"}, waiting);
+  fixture.loop.run_for(milliseconds(10));
+  fixture.Request({}, next);
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  REQUIRE(next.lease);
+  CHECK(next.lease.Endpoint().entry.id == "free");
+  CHECK_FALSE(waiting.lease);
+  fixture.loop.restart();
+  fixture.loop.run();
+}
+
+TEST_CASE("a slot that becomes free goes past a request that may not use it") {
+  AdmissionFixture fixture;
+  fixture.registry.All().at("free")->own_online = 2;
+  AdmissionOutcome waiting;
+  AdmissionOutcome next;
+  fixture.Request({"free"}, waiting);
+  fixture.Request({}, next);
+  fixture.loop.run_for(milliseconds(10));
+  fixture.registry.All().at("free")->own_online = 0;
+  fixture.admission.Dispatch();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  REQUIRE(next.lease);
+  CHECK_FALSE(waiting.lease);
+  fixture.loop.restart();
+  fixture.loop.run();
+}
+
+}  // namespace
+}  // namespace lentilhead::gateway
