Do not destroy the parts of the node while requests are still open

What callers saw: nothing; the process ended by SIGSEGV instead of 0 when a request was open at its exit, for example one whose caller reads nothing of a large answer (review: exit code -11, invalid reads in valgrind). Cause: suspended tasks are destroyed with the event loop, after the parts that they refer to. Change: the process exits after the log is flushed, without destroying the program.

--- a/src/apps/node/main.cc
+++ b/src/apps/node/main.cc
@@ -1,3 +1,4 @@
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -36,7 +37,8 @@
   }
   lentilhead::node::NodeProgram program(std::move(options),
                                         std::move(std::get<NodeSettings>(settings)), text.str());
-  return program.Run();
+  // Requests that are still open refer to parts of the program, which must not be destroyed first.
+  std::quick_exit(program.Run());
 }
 
 }  // namespace
