Answer a request that a leaving node has read ahead, and wait for the first one

What callers saw: of two requests sent one after the other on a connection, the second got nothing when SIGTERM came during the first; a new connection to a node that had been leaving for 3 s was closed within 50 ms, before its request had arrived. Cause: the connection was closed after the answer in progress, whatever had been read since; idle connections were closed at any age. Change: the connection closes after an answer only if no further request has been read; an idle one is closed after 0.3 s at the earliest.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -51,8 +51,11 @@
   void Abort();
 
   /// Ends the wait for a request, so that the connection is closed. No effect while a request is
-  /// read or answered.
-  void CloseIfIdle();
+  /// read or answered, or in the first moments of the wait.
+  void CloseIfIdle(net::SteadyTime now);
+
+  /// Whether the answer to the request that was read last has begun.
+  [[nodiscard]] bool HasBegunAnswer() const { return this->answer_begun; }
 
   /// Whether another request may follow.
   [[nodiscard]] bool IsOpen() const { return this->is_open; }
@@ -65,6 +68,7 @@
   void Watch();
   void OnReadable(net::ErrorCode error);
   [[nodiscard]] bool TakeAvailable();
+  [[nodiscard]] bool ClosesAfterAnswer() const;
 
   net::beast::tcp_stream stream;
   net::beast::flat_buffer buffer;
@@ -73,6 +77,8 @@
   bool wait_pending = false;
   bool is_open = true;
   bool is_idle = true;
+  net::SteadyTime idle_since;
+  bool answer_begun = false;
   bool keep_alive = true;
   bool is_head_request = false;
 };
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -68,7 +68,7 @@
 
 void CallerServer::CloseIdle() {
   for (const std::shared_ptr<CallerSession>& session : this->sessions) {
-    session->CloseIfIdle();
+    session->CloseIfIdle(net::Now());
   }
 }
 
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -16,7 +16,9 @@
 
 // A link may fail for 5 s while its caller still waits for an answer.
 constexpr milliseconds kTcpSilenceTimeout{6000};
-constexpr milliseconds kBodyTimeout{10000};           // allows the largest body over a slow link
+constexpr milliseconds kBodyTimeout{10000};  // allows the largest body over a slow link
+// A connection that has just been opened, or answered on, may be about to carry a request.
+constexpr milliseconds kFirstRequestTime{300};
 constexpr std::size_t kReadBytes = 4096;              // bytes per read from the socket
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;  // read ahead while a request is in flight
 
@@ -75,6 +77,8 @@
 
 awaitable<std::variant<net::Request, ReadProblem>> CallerSession::ReadRequest(CallerLimits limits) {
   this->is_idle = true;
+  this->idle_since = net::Now();
+  this->answer_begun = false;
   const bool begun = co_await this->AwaitFirstByte(limits);
   if (!begun) {
     co_return ReadProblem::kClosed;
@@ -136,11 +140,17 @@
   return read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
+bool CallerSession::ClosesAfterAnswer() const {
+  // A further request that has been read already is answered, too.
+  return this->stop && this->buffer.size() == 0;
+}
+
 awaitable<bool> CallerSession::Send(net::Response response, net::SteadyTime until) {
   if (!this->is_open) {
     co_return false;
   }
-  this->keep_alive = this->keep_alive && !this->stop;
+  this->keep_alive = this->keep_alive && !this->ClosesAfterAnswer();
+  this->answer_begun = true;
   response.version(11);
   response.keep_alive(this->keep_alive);
   if (!this->is_head_request) {
@@ -172,7 +182,8 @@
   if (!this->is_open) {
     co_return false;
   }
-  this->keep_alive = this->keep_alive && !this->stop;
+  this->keep_alive = this->keep_alive && !this->ClosesAfterAnswer();
+  this->answer_begun = true;
   net::http::response<net::http::empty_body> response(std::move(head));
   response.version(11);
   response.keep_alive(this->keep_alive);
@@ -209,11 +220,13 @@
   this->stream.close();
 }
 
-void CallerSession::CloseIfIdle() {
+void CallerSession::CloseIfIdle(net::SteadyTime now) {
   // Cancels the read and leaves the socket open. Bytes that were read from the socket, but not yet
   // delivered to the coroutine, belong to a request that must be answered; their read completes in
   // spite of the cancellation.
-  if (this->is_idle && this->buffer.size() == 0 && net::IsIdleAndOpen(this->stream.socket())) {
+  const bool may_be_used_now = now - this->idle_since < kFirstRequestTime;
+  if (this->is_idle && !may_be_used_now && this->buffer.size() == 0 &&
+      net::IsIdleAndOpen(this->stream.socket())) {
     this->stream.cancel();
   }
 }
--- a/src/gateway/tests/caller_session_test.cc
+++ b/src/gateway/tests/caller_session_test.cc
@@ -10,6 +10,7 @@
 namespace asio = net::asio;
 using std::chrono::milliseconds;
 
+constexpr milliseconds kLongIdleTime{1000};
 constexpr char kRequest[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
 
 /// A session and its caller's socket on an event loop that the test runs step by step.
@@ -66,7 +67,7 @@
     REQUIRE(fixture.answers_sent == 1);
     asio::write(fixture.caller, asio::buffer(std::string(kRequest)));
     fixture.Step(handlers);
-    fixture.session->CloseIfIdle();
+    fixture.session->CloseIfIdle(net::Now() + kLongIdleTime);
     fixture.loop.restart();
     fixture.loop.run_for(milliseconds(20));
     CHECK(fixture.answers_sent == fixture.requests_read);
@@ -77,7 +78,7 @@
   SessionFixture fixture;
   asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
   fixture.loop.run_for(milliseconds(10));
-  fixture.session->CloseIfIdle();
+  fixture.session->CloseIfIdle(net::Now() + kLongIdleTime);
   fixture.loop.restart();
   fixture.loop.run_for(milliseconds(10));
   CHECK_FALSE(fixture.session->IsOpen());
