Answer a request whose task fails, and exit when a task of the node fails

What callers saw: a closed connection without an answer after an exception in the task of their request; after one in a task of the node, such as the one that leaves, nothing until the kill. Change: the request gets 502, since it may have run; the process exits with 1, so that a new one serves. Before: caller_server_test found the end of the stream, no answer. After: 502, then the end.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -101,7 +101,11 @@
       settings_text(std::move(settings_text)) {}
 
 void NodeProgram::Spawn(std::string_view name, awaitable<void> task) {
-  net::Spawn(this->executor, name, std::move(task));
+  // Without one of its tasks the node would serve half; a new process serves whole.
+  net::Spawn(this->executor, name, std::move(task), [this] {
+    this->has_failed = true;
+    this->context.stop();
+  });
 }
 
 bool NodeProgram::OpenListeners() {
@@ -176,7 +180,7 @@
       .With("node", this->settings.name)
       .With("in_flight", this->caller_server.RequestsInFlight());
   net::LogSink::OfProcess().Flush();
-  return 0;
+  return this->has_failed ? 1 : 0;
 }
 
 bool NodeProgram::IsReady() const {
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -86,6 +86,7 @@
   AuxiliaryServer metrics_server;
   net::asio::signal_set signals;
   net::LoopLag loop_lag;
+  bool has_failed = false;  ///< one of the node's tasks ended by an exception
   std::string settings_text;
   std::pair<std::uint64_t, std::uint64_t> group_versions;  ///< lists that the groups are made of
 };
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -149,8 +149,20 @@
   session.StartWatch(cancel);
   InferenceRequest request = platform::DecodeRequest(std::move(message));
   const internal::OpenRequests::Entry entry(this->requests, {request.id, net::Now(), cancel});
-  co_await this->Dispatch(session, cancel, std::move(request));
+  std::exception_ptr failure;
+  try {
+    co_await this->Dispatch(session, cancel, std::move(request));
+  } catch (...) {
+    failure = std::current_exception();
+  }
+  if (failure && !session.HasBegunAnswer()) {
+    co_await session.Send(MakeErrorResponse(status::bad_gateway, "internal"),
+                          net::Now() + kWriteTimeout);
+  }
   session.StopWatch();
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
 }
 
 awaitable<void> CallerServer::RefuseUnrouted(CallerSession& session,
--- a/src/gateway/tests/caller_server_test.cc
+++ b/src/gateway/tests/caller_server_test.cc
@@ -24,16 +24,15 @@
   return config;
 }
 
-TEST_CASE("a connection is closed, not left without an answer, when its request's task fails") {
+TEST_CASE("a request whose task fails is answered, and its connection is closed") {
   asio::io_context loop{1};
   Gateway gateway(loop.get_executor(), "a");
   gateway.routes.Adopt(ConfigWithBatchRoute());
   gateway.endpoints_loaded = true;
   CallerServer server(
       gateway,
-      [](InferenceRequest, RoutedRequest, CancelScope&) -> asio::awaitable<net::Response> {
-        throw std::runtime_error("out of memory");
-      },
+      [](const InferenceRequest&, const RoutedRequest&, CancelScope&)
+          -> asio::awaitable<net::Response> { throw std::runtime_error("out of memory"); },
       milliseconds(1000), [](const InferenceRequest&) { return true; });
   net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
   net::tcp::socket caller(loop);
@@ -45,6 +44,10 @@
   CHECK(server.RequestsInFlight() == 0);
   CHECK(server.OpenConnections() == 0);
   caller.non_blocking(true);
+  net::beast::flat_buffer buffer;
+  net::Response response;
+  net::http::read(caller, buffer, response);
+  CHECK(response.result() == net::http::status::bad_gateway);
   char byte = 0;
   net::ErrorCode error;
   caller.read_some(asio::buffer(&byte, 1), error);
--- a/src/net/spawn.cc
+++ b/src/net/spawn.cc
@@ -20,13 +20,18 @@
 
 }  // namespace
 
-void Spawn(const asio::any_io_executor& executor, std::string_view name,
-           asio::awaitable<void> task) {
-  asio::co_spawn(executor, std::move(task), [name](const std::exception_ptr& failure) {
-    if (failure) {
-      LogFailure(name, failure);
-    }
-  });
+void Spawn(const asio::any_io_executor& executor, std::string_view name, asio::awaitable<void> task,
+           std::function<void()> on_failure) {
+  asio::co_spawn(executor, std::move(task),
+                 [name, on_failure = std::move(on_failure)](const std::exception_ptr& failure) {
+                   if (!failure) {
+                     return;
+                   }
+                   LogFailure(name, failure);
+                   if (on_failure) {
+                     on_failure();
+                   }
+                 });
 }
 
 }  // namespace lentilhead::net
