Deliver a stream that is complete at the exit, and judge an endpoint after its silence

Cause: a stream whose last part was read in the turn of its cancellation was cut; an endpoint that had been silent once in an attempt was not blamed when it broke the same stream off later (review, by reading; no run shows either). Change: the cancellation does not apply to a complete stream; events end the silence.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -159,10 +159,11 @@
     StreamPart part = co_await stream.Read(this->routed.deadline);
     const bool was_silent = this->silence.Stop();
     this->unfinished_bytes = stream.UnfinishedBytes();
-    if (this->cancel.IsCancelled()) {
+    if (this->cancel.IsCancelled() && part.state != StreamState::kComplete) {
       co_return Step::kCancelled;
     }
     if (!part.events.empty()) {
+      this->silence_recorded = false;
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
         EndpointFeedback::RecordUnitLatency(
