Keep the exit of a leaving node after the end of what it has accepted

Cause: the exit moved to an earlier time when the event loop lagged, also before the deadlines of what had been accepted; and a signal that is noticed late let the lenient phase last beyond 3 s after it. Change: ShutdownPolicy::RevisedExit keeps promised ends; the lenient phase ends 2.5 s after the signal was noticed; the grace period is the one in force at the signal.

--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -53,9 +53,9 @@
   net::asio::awaitable<void> RefuseUnrouted(CallerSession& session, const InferenceRequest& request,
                                             const char* reason,
                                             std::chrono::milliseconds retry_after);
-  /// Whether a node that shuts down accepts a request; logs the decision.
+  /// Decides whether a node that shuts down accepts a request, and logs the decision.
   [[nodiscard]] bool AcceptsWhileLeaving(const InferenceRequest& request,
-                                         const RoutedRequest& routed) const;
+                                         const RoutedRequest& routed);
   net::asio::awaitable<void> Dispatch(CallerSession& session, CancelScope& cancel,
                                       InferenceRequest request);
 
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -177,13 +177,16 @@
 }
 
 bool CallerServer::AcceptsWhileLeaving(const InferenceRequest& request,
-                                       const RoutedRequest& routed) const {
+                                       const RoutedRequest& routed) {
   RequestSpan span{net::ToMilliseconds(routed.deadline - routed.arrival), std::nullopt};
   if (routed.route != nullptr) {
     span.usual = this->gateway.durations.Average(routed.route->Key());
   }
-  const ShutdownTimes& shutdown = this->gateway.shutdown;
+  ShutdownTimes& shutdown = this->gateway.shutdown;
   const bool accepts = ShutdownPolicy::Accepts(shutdown, span, routed.arrival);
+  if (accepts && ShutdownPolicy::EndsBeforeExit(shutdown, span, routed.arrival)) {
+    shutdown.promised_until = std::max(shutdown.promised_until, routed.deadline);
+  }
   net::LogLine("request_while_leaving", net::LogImportance::kRoutine)
       .With("request", request.id)
       .With("accepted", accepts)
--- a/src/gateway/internal/shutdown_policy.cc
+++ b/src/gateway/internal/shutdown_policy.cc
@@ -8,6 +8,9 @@
 
 using std::chrono::milliseconds;
 
+// Two failed readiness checks, one a second, take the node out of rotation. The signal may have
+// been noticed late.
+constexpr milliseconds kLenientTime{2500};
 constexpr milliseconds kCloseTime{400};  // to end the open requests and to exit, on an idle machine
 // The stop signal, the answers and the exit may each be delayed by the event loop.
 constexpr int kDelayedSteps = 3;
@@ -22,13 +25,23 @@
   return started + grace - std::min(margin, grace / kLastPartOfGrace);
 }
 
+net::SteadyTime ShutdownPolicy::RevisedExit(const ShutdownTimes& times, milliseconds lag) {
+  const net::SteadyTime wanted = ExitAt(times.started, times.grace, lag);
+  return std::min(times.exits_at, std::max(wanted, times.promised_until));
+}
+
+bool ShutdownPolicy::EndsBeforeExit(const ShutdownTimes& times, const RequestSpan& request,
+                                    net::SteadyTime now) {
+  return request.longest <= times.exits_at - now;
+}
+
 bool ShutdownPolicy::Accepts(const ShutdownTimes& times, const RequestSpan& request,
                              net::SteadyTime now) {
-  const auto left = times.exits_at - now;
-  if (request.longest <= left) {
+  if (EndsBeforeExit(times, request, now)) {
     return true;
   }
-  const bool is_draining_listener = now < times.started + kListenerDrainTime;
+  const auto left = times.exits_at - now;
+  const bool is_draining_listener = now < times.started + kLenientTime;
   const bool usually_ends = !request.usual || *request.usual <= left;
   return is_draining_listener && left > milliseconds(0) && usually_ends;
 }
--- a/src/gateway/shutdown_policy.h
+++ b/src/gateway/shutdown_policy.h
@@ -20,7 +20,16 @@
                                               std::chrono::milliseconds grace,
                                               std::chrono::milliseconds lag);
 
-  /// Whether the node accepts a request that it has just read. While new connections are still
+  /// Time of the exit after a new estimate of the lag: not before the end of what was accepted for
+  /// certain, and never later than planned before.
+  [[nodiscard]] static net::SteadyTime RevisedExit(const ShutdownTimes& times,
+                                                   std::chrono::milliseconds lag);
+
+  /// Whether a request ends before the exit in any case.
+  [[nodiscard]] static bool EndsBeforeExit(const ShutdownTimes& times, const RequestSpan& request,
+                                           net::SteadyTime now);
+
+  /// Whether the node accepts a request that it has just read. While most new connections are still
   /// sent to it, it refuses only what usually lasts beyond its exit; later it accepts only what
   /// ends before its exit in any case.
   [[nodiscard]] static bool Accepts(const ShutdownTimes& times, const RequestSpan& request,
--- a/src/gateway/tests/shutdown_policy_test.cc
+++ b/src/gateway/tests/shutdown_policy_test.cc
@@ -12,8 +12,8 @@
 constexpr milliseconds kGrace{8000};
 const net::SteadyTime kStart = net::SteadyTime{} + std::chrono::hours(1);
 
-ShutdownTimes TimesWithLag(milliseconds lag) {
-  return {kStart, ShutdownPolicy::ExitAt(kStart, kGrace, lag)};
+ShutdownTimes TimesWithLag(milliseconds lag, milliseconds grace = kGrace) {
+  return {kStart, grace, ShutdownPolicy::ExitAt(kStart, grace, lag), {}};
 }
 
 TEST_CASE("the exit leaves room before the kill, and uses five sixths of the grace period") {
@@ -54,10 +54,29 @@
   CHECK(ShutdownPolicy::Accepts(times, {milliseconds(5000), milliseconds(9000)}, now));
 }
 
+TEST_CASE("the exit moves, when the event loop lags, to no time before a promised end") {
+  ShutdownTimes times = TimesWithLag(milliseconds(0));
+  const net::SteadyTime first_exit = times.exits_at;
+  times.promised_until = first_exit - milliseconds(100);
+  times.exits_at = ShutdownPolicy::RevisedExit(times, milliseconds(300));
+  CHECK(times.exits_at == first_exit - milliseconds(100));
+  CHECK(ShutdownPolicy::RevisedExit(times, milliseconds(0)) == times.exits_at);
+  times.promised_until = {};
+  CHECK(ShutdownPolicy::RevisedExit(times, milliseconds(300)) ==
+        ShutdownPolicy::ExitAt(kStart, kGrace, milliseconds(300)));
+}
+
+TEST_CASE("a stop signal noticed late lets in nothing that the exit may cut") {
+  const ShutdownTimes times = TimesWithLag(milliseconds(0));
+  const milliseconds noticed_late(400);
+  const net::SteadyTime now = kStart + ShutdownPolicy::kListenerDrainTime - noticed_late;
+  CHECK_FALSE(ShutdownPolicy::Accepts(times, {milliseconds(30000), std::nullopt}, now));
+}
+
 TEST_CASE("nothing is accepted at the exit") {
   const ShutdownTimes times = TimesWithLag(milliseconds(0));
   CHECK_FALSE(ShutdownPolicy::Accepts(times, {milliseconds(1), milliseconds(0)}, times.exits_at));
-  const ShutdownTimes short_grace{kStart, ShutdownPolicy::ExitAt(kStart, milliseconds(1000), {})};
+  const ShutdownTimes short_grace = TimesWithLag(milliseconds(0), milliseconds(1000));
   CHECK_FALSE(ShutdownPolicy::Accepts(short_grace, {milliseconds(5000), std::nullopt},
                                       short_grace.exits_at));
 }
--- a/src/gateway/types/shutdown_times.h
+++ b/src/gateway/types/shutdown_times.h
@@ -7,7 +7,9 @@
 /// When a node began to shut down and when it exits at the latest.
 struct ShutdownTimes {
   net::SteadyTime started;
+  std::chrono::milliseconds grace{0};  ///< time between the stop signal and the kill
   net::SteadyTime exits_at;
+  net::SteadyTime promised_until;  ///< latest end of the requests accepted since then
 };
 
 }  // namespace lentilhead::gateway
