Read and refuse what has arrived before a late exit

Cause: the node stopped its event loop at once when no request was in flight, though requests had arrived that it had not read, as the loop was late. Change: the loop runs 50 ms more; what it reads then is refused, since no time is left.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -30,6 +30,7 @@
 constexpr milliseconds kStoreSilenceTimeout{1100};  // after it, peers may provide the endpoints
 constexpr milliseconds kLeavePollPeriod{50};
 constexpr milliseconds kClosePollPeriod{10};
+constexpr milliseconds kLastReadTime{50};
 constexpr milliseconds kLongestClose{200};  // for the last answers before the exit
 constexpr int kSettingsCheckTicks = 10;     // maintenance periods between checks of the file
 
@@ -323,17 +324,17 @@
 }
 
 awaitable<void> NodeProgram::EndRequests() {
-  if (this->caller_server.RequestsInFlight() == 0) {
-    co_return;
+  if (this->caller_server.RequestsInFlight() > 0) {
+    net::LogLine("requests_ended")
+        .With("reason", "leaving")
+        .With("count", this->caller_server.RequestsInFlight());
   }
-  net::LogLine("requests_ended")
-      .With("reason", "leaving")
-      .With("count", this->caller_server.RequestsInFlight());
   this->caller_server.EndRequests();
-  net::asio::steady_timer timer(this->executor);
-  const net::SteadyTime until = net::Now() + kLongestClose;
-  while (this->caller_server.RequestsInFlight() > 0 && net::Now() < until) {
-    timer.expires_after(kClosePollPeriod);
+  const net::SteadyTime start = net::Now();
+  // Requests that arrived while the event loop was late are read now, and refused.
+  while (net::Now() < start + kLastReadTime ||
+         (this->caller_server.RequestsInFlight() > 0 && net::Now() < start + kLongestClose)) {
+    net::asio::steady_timer timer(this->executor, kClosePollPeriod);
     co_await timer.async_wait(net::kAwaitWithError);
   }
   this->caller_server.LogCutRequests();
