Hand over a job that a leaving node comes to own after its stop signal

What callers saw: a job answered with 202 around a SIGTERM stood still until the leaving node had exited, up to the whole grace period, and was counted as lost by its peers. Cause: the jobs are handed over at the stop signal. A submission or a takeover whose claim the store confirmed after it made the leaving node the owner: it runs no items, and the claim kept its name. Change: a job that is owned while the node leaves is handed over at once; a takeover in progress gives the claim back instead of reading the job; the node exits early only when no takeover is in progress. Before: a_job_accepted_around_the_stop_signal_runs_at_once_on_another_node and a_leaving_node_gives_back_a_job_that_it_was_taking_over of planned_changes_test fail. After: both pass.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -308,8 +308,7 @@
 
 bool NodeProgram::HasFinished() {
   const bool is_idle = this->caller_server.RequestsInFlight() == 0 &&
-                       this->caller_server.OpenConnections() == 0 &&
-                       this->job_service.OwnedCount() == 0;
+                       this->caller_server.OpenConnections() == 0 && this->job_service.IsIdle();
   if (is_idle && this->caller_listener.is_open()) {
     // A connection that has been accepted just now is served before the next check.
     net::ErrorCode ignored;  // the process exits in any case
--- a/src/jobs/internal/job_service.cc
+++ b/src/jobs/internal/job_service.cc
@@ -135,10 +135,14 @@
     return false;
   }
   const bool was_idle = this->owned.empty();
-  this->owned[job->claim.job] = std::move(job);
+  this->owned[job->claim.job] = job;
   if (was_idle) {
     this->run_timer.cancel();
   }
+  if (this->gateway.stopping) {
+    // The store confirmed the claim only after HandOver().
+    net::Spawn(this->gateway.executor, "hand_over_job", this->HandOverJob(std::move(job)));
+  }
   return true;
 }
 
@@ -203,9 +207,13 @@
       current->state == JobState::kOpen) {
     const Claim taken = *current;
     this->UpdateClaim(taken);
-    std::optional<StoredJob> stored =
-        co_await this->store.ReadJob(taken, net::Now() + kTakeoverTimeout);
-    if (stored && !this->owned.contains(id) && !this->gateway.stopping) {
+    std::optional<StoredJob> stored;
+    if (!this->gateway.stopping) {
+      stored = co_await this->store.ReadJob(taken, net::Now() + kTakeoverTimeout);
+    }
+    if (this->gateway.stopping) {
+      co_await this->GiveBack(taken);
+    } else if (stored && !this->owned.contains(id)) {
       const std::size_t committed = stored->committed.size();
       auto job = std::make_shared<internal::OwnedJob>(
           taken, ItemTracker(std::move(stored->spec), stored->committed));
--- a/src/jobs/internal/job_writer.cc
+++ b/src/jobs/internal/job_writer.cc
@@ -153,6 +153,19 @@
   this->Drop(job, "handed_over");
 }
 
+awaitable<void> JobService::GiveBack(Claim claim) {
+  claim.owner.clear();
+  ClaimOutcome outcome =
+      co_await this->store.ReplaceClaim(claim, {}, net::Now() + kHandOverTimeout);
+  const auto* current = std::get_if<Claim>(&outcome);
+  if (current != nullptr) {
+    this->UpdateClaim(*current);
+  }
+  net::LogLine("job_given_back")
+      .With("job", claim.job)
+      .With("written", current != nullptr && current->owner.empty());
+}
+
 void JobService::HandOver() {
   const std::map<std::string, Job> jobs = this->owned;
   for (const auto& [id, job] : jobs) {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -71,6 +71,9 @@
 
   [[nodiscard]] std::size_t OwnedCount() const { return this->owned.size(); }
 
+  /// Whether this node holds the claim of no job, and is not about to.
+  [[nodiscard]] bool IsIdle() const { return this->owned.empty() && this->takeovers.empty(); }
+
  private:
   using Job = std::shared_ptr<internal::OwnedJob>;
 
@@ -100,6 +103,8 @@
                                      gateway::EndpointLease lease);
   net::asio::awaitable<void> CommitResults(Job job);
   net::asio::awaitable<void> HandOverJob(Job job);
+  /// Gives up the claim of a job that this node has taken over, but not begun to run.
+  net::asio::awaitable<void> GiveBack(Claim claim);
   net::asio::awaitable<void> SaveProgress(Job job);
   void SaveProgressIfDue(const Job& job, net::SteadyTime now);
   net::asio::awaitable<void> RemoveJob(Claim claim);
