Keep the grace period of a stop when the settings change during it

What callers saw: a request that a leaving node had accepted was cut before its time. Cause: the time of the exit was computed again with the grace period of the settings in force. New settings describe the next process; a shorter period ended this one's requests early. Change: the grace period is the one in force when the stop signal came. Before: new_settings_do_not_shorten_a_stop_under_way of planned_changes_test fails, the stream is cut. After: passes.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -271,8 +271,9 @@
 awaitable<void> NodeProgram::Leave() {
   gateway::ShutdownTimes& shutdown = this->gateway.shutdown;
   shutdown.started = net::Now();
-  shutdown.exits_at = gateway::ShutdownPolicy::ExitAt(shutdown.started, this->settings.stop_grace,
-                                                      this->loop_lag.Longest());
+  shutdown.grace = this->settings.stop_grace;
+  shutdown.exits_at =
+      gateway::ShutdownPolicy::ExitAt(shutdown.started, shutdown.grace, this->loop_lag.Longest());
   this->gateway.stopping = true;
   this->peers.NoteChange();
   net::LogLine("leaving")
@@ -300,9 +301,9 @@
     timer.expires_after(kLeavePollPeriod);
     co_await timer.async_wait(net::kAwaitWithError);
     this->loop_lag.Record(net::Now() - timer.expiry());
-    shutdown.exits_at = std::min(shutdown.exits_at, gateway::ShutdownPolicy::ExitAt(
-                                                        shutdown.started, this->settings.stop_grace,
-                                                        this->loop_lag.Longest()));
+    shutdown.exits_at = std::min(shutdown.exits_at,
+                                 gateway::ShutdownPolicy::ExitAt(shutdown.started, shutdown.grace,
+                                                                 this->loop_lag.Longest()));
   }
 }
 
--- a/src/gateway/types/shutdown_times.h
+++ b/src/gateway/types/shutdown_times.h
@@ -8,6 +8,8 @@
 struct ShutdownTimes {
   net::SteadyTime started;
   net::SteadyTime exits_at;
+  /// Time from the stop signal to the kill, as set when the signal came.
+  std::chrono::milliseconds grace{0};
 };
 
 }  // namespace lentilhead::gateway
