End a process whose tasks are suspended without destroying its parts

What callers saw: nothing that was measured; the process ended with SIGSEGV instead of status 0 when a request was still open at the exit, for example to a caller that reads nothing. Cause: main destroyed the program. The event loop is destroyed last and with it the suspended tasks, whose destructors use parts of the program (the list of open requests) that are gone by then. Change: the program is never destroyed; the process exits when it has logged its stop. Before: a_stop_ends_cleanly_beside_a_caller_that_reads_nothing of planned_changes_test fails with status -11. After: passes.

--- a/src/apps/node/main.cc
+++ b/src/apps/node/main.cc
@@ -34,9 +34,10 @@
   if (options.check_only) {
     return 0;
   }
-  lentilhead::node::NodeProgram program(std::move(options),
-                                        std::move(std::get<NodeSettings>(settings)), text.str());
-  return program.Run();
+  // Never destroyed: tasks that are still suspended at the exit refer to its parts.
+  static auto* const kProgram = new lentilhead::node::NodeProgram(
+      std::move(options), std::move(std::get<NodeSettings>(settings)), text.str());
+  return kProgram->Run();
 }
 
 }  // namespace
