Let jobs whose route was removed hold up no other job

What callers saw: after a configuration without a batch route, jobs of other routes stood still for 3 s for each job of the removed route that was due earlier. Cause: the next item was chosen before its route was looked up. A job without a route was chosen again until it was given up 3 s later, then the next one, and nothing else was started meanwhile. Change: jobs without a route are passed over; each one's 3 s run from the removal. Before: jobs_of_a_removed_route_hold_up_no_other_job of planned_changes_test fails, no item is done after 4 s. After: passes.

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -207,6 +207,7 @@
 bool JobService::StartNextItem() {
   Job next;
   std::size_t next_item = 0;
+  const gateway::Route* route = nullptr;
   ItemCandidate best;
   const net::SteadyTime now = net::Now();
   for (const auto& [id, job] : this->owned) {
@@ -217,23 +218,24 @@
     if (!item) {
       continue;
     }
+    const gateway::Route* matched =
+        this->gateway.routes.Match(job->claim.host, job->items.Spec(*item).path);
+    const bool exists = matched != nullptr && matched->kind == gateway::RouteKind::kBatch;
+    this->GiveUpIfRouteMissing(job, exists);
+    if (!exists) {
+      continue;
+    }
     const ItemCandidate candidate = this->CandidateOf(*job, *item);
     if (!next || ItemOrder::StartsBefore(candidate, best)) {
       next = job;
       next_item = *item;
+      route = matched;
       best = candidate;
     }
   }
   if (!next) {
     return false;
   }
-  const gateway::Route* route =
-      this->gateway.routes.Match(next->claim.host, next->items.Spec(next_item).path);
-  const bool exists = route != nullptr && route->kind == gateway::RouteKind::kBatch;
-  this->GiveUpIfRouteMissing(next, exists);
-  if (!exists) {
-    return false;
-  }
   gateway::ChoiceRequest choice{gateway::RouteTable::PickService(*route, net::RandomFraction()),
                                 {},
                                 gateway::WorkClass::kBatch};
