Read from a new address of the store at once

What callers saw: a configuration came into force late after the settings had named another address of the store, if the old one no longer answered. Cause: calls in flight stayed with the old address until their timeouts, and calls that wait for changes last longest. Their failures also counted against the new address. Change: a new address ends the reads in flight, which are repeated at it; writes go on, as they may have an effect. What is known of the path belongs to one address.

--- a/src/net/http_caller.cc
+++ b/src/net/http_caller.cc
@@ -1,6 +1,7 @@
 #include "net/http_caller.h"
 
 #include <limits>
+#include <optional>
 
 #include "net/socket_options.h"
 
@@ -31,6 +32,12 @@
   this->idle.clear();
 }
 
+void HttpCaller::EndReads() {
+  for (Connection* connection : *this->reads) {
+    connection->stream.close();
+  }
+}
+
 std::unique_ptr<HttpCaller::Connection> HttpCaller::TakeIdle() {
   while (!this->idle.empty()) {
     std::unique_ptr<Connection> connection = std::move(this->idle.back());
@@ -57,8 +64,12 @@
   const SteadyTime deadline = Now() + timeout;
   const tcp::endpoint server = this->address;
   std::unique_ptr<Connection> connection = this->TakeIdle();
-  if (!connection) {
+  const bool is_new = connection == nullptr;
+  if (is_new) {
     connection = std::make_unique<Connection>(this->executor);
+  }
+  std::optional<ReadEntry> entry(std::in_place, this->reads, request, *connection);
+  if (is_new) {
     connection->stream.expires_at(std::min(deadline, Now() + kConnectTimeout));
     const auto [error] = co_await connection->stream.async_connect(server, kAwaitWithError);
     if (error) {
@@ -82,6 +93,7 @@
   if (read_error) {
     co_return CallError::kNoAnswer;
   }
+  entry.reset();
   Response response = parser.release();
   if (response.keep_alive()) {
     this->ReturnIdle(std::move(connection), server);
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <set>
 #include <variant>
 #include <vector>
 
@@ -27,6 +28,9 @@
   /// Changes the server and closes idle connections to the old one.
   void SetAddress(const tcp::endpoint& address);
 
+  /// Ends the GET calls in flight as unanswered. Other calls, which may have an effect, go on.
+  void EndReads();
+
   [[nodiscard]] const tcp::endpoint& Address() const { return this->address; }
 
  private:
@@ -38,12 +42,35 @@
     SteadyTime idle_since;
   };
 
+  using Connections = std::set<Connection*>;
+
+  /// Lists the connection of a GET call in flight while the object lives.
+  class ReadEntry {
+   public:
+    /// @param reads shared, as a call that the exit of the process ends may outlive its caller.
+    /// @param request the call; it is listed only if it is a GET call.
+    ReadEntry(std::shared_ptr<Connections> reads, const Request& request, Connection& connection)
+        : reads(std::move(reads)), connection(connection) {
+      if (request.method() == http::verb::get) {
+        this->reads->insert(&this->connection);
+      }
+    }
+    ReadEntry(const ReadEntry&) = delete;
+    ReadEntry& operator=(const ReadEntry&) = delete;
+    ~ReadEntry() { this->reads->erase(&this->connection); }
+
+   private:
+    std::shared_ptr<Connections> reads;
+    Connection& connection;
+  };
+
   std::unique_ptr<Connection> TakeIdle();
   void ReturnIdle(std::unique_ptr<Connection> connection, const tcp::endpoint& server);
 
   asio::any_io_executor executor;
   tcp::endpoint address;
   std::vector<std::unique_ptr<Connection>> idle;
+  std::shared_ptr<Connections> reads = std::make_shared<Connections>();  ///< of GET calls in flight
 };
 
 }  // namespace lentilhead::net
--- a/src/rowstore/row_store.cc
+++ b/src/rowstore/row_store.cc
@@ -46,13 +46,24 @@
 RowStore::RowStore(const net::asio::any_io_executor& executor, const net::tcp::endpoint& address)
     : executor(executor), caller(executor, address), relay(executor, address) {}
 
-void RowStore::SetAddress(const net::tcp::endpoint& address) { this->caller.SetAddress(address); }
+void RowStore::SetAddress(const net::tcp::endpoint& address) {
+  if (address == this->caller.Address()) {
+    return;
+  }
+  this->caller.SetAddress(address);
+  this->caller.EndReads();  // their callers repeat them at the new address
+  this->path = StorePath();
+}
 
 awaitable<net::HttpCaller::Outcome> RowStore::CallDirect(net::Request request,
                                                          milliseconds timeout) {
   const net::SteadyTime start = net::Now();
+  const net::tcp::endpoint server = this->caller.Address();
   net::HttpCaller::Outcome outcome = co_await this->caller.Call(std::move(request), timeout);
   const net::SteadyTime end = net::Now();
+  if (server != this->caller.Address()) {
+    co_return outcome;  // tells nothing about the path to the new address
+  }
   const auto* response = std::get_if<net::Response>(&outcome);
   if (response != nullptr) {
     const bool refused = platform::IsNotApplied(*response);
--- a/src/rowstore/row_store.h
+++ b/src/rowstore/row_store.h
@@ -23,6 +23,7 @@
   /// @param address address of the store.
   RowStore(const net::asio::any_io_executor& executor, const net::tcp::endpoint& address);
 
+  /// Changes the address of the store. Reads in flight are ended and repeated at the new address.
   void SetAddress(const net::tcp::endpoint& address);
 
   /// Sets the function that finds a peer to relay calls while the store does not serve this node.
