Serve calls on a job whose route was removed

What callers saw: 404 for the results, the items and the end of an accepted job, from the moment at which a configuration removed the last batch route of its host. Cause: calls on jobs were recognised only for hosts with a batch route in the configuration in force. Change: a job outlives its route; calls on jobs are also served where no route takes their path. Before: results_stay_readable_when_the_route_of_their_job_is_removed of planned_changes_test fails with 404. After: passes, and an unknown job still gets 404.

--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -190,10 +190,13 @@
     co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
-  const bool on_job =
-      this->gateway.routes.HasBatchRoute(request.host) && this->is_job_call(request);
-  routed.route = on_job ? nullptr : this->gateway.routes.Match(request.host, request.path);
-  if (!on_job && routed.route == nullptr) {
+  routed.route = this->gateway.routes.Match(request.host, request.path);
+  // A job outlives its route: calls on it are served where no other route takes their path.
+  const bool on_job = this->is_job_call(request) &&
+                      (routed.route == nullptr || this->gateway.routes.HasBatchRoute(request.host));
+  if (on_job) {
+    routed.route = nullptr;
+  } else if (routed.route == nullptr) {
     net::LogLine("request_rejected")
         .With("request", request.id)
         .With("reason", "no_route")
