Read each request by the limits in force when it begins

What callers saw: 413 on a kept connection for a body that the configuration in force allows, and connections that were closed as idle sooner than it allows. Cause: the limits were taken when the wait for the request began, which may be long before it. Change: the limits are taken when the request begins, and the idle time is compared with them when it is over. Its timer is the session's own: it closes no connection on which bytes have arrived. Before: a_kept_connection_follows_the_limits_in_force of planned_changes_test fails (one 413, one connection closed). After: passes, and so do three new cases of caller_session_test.

--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -45,6 +45,7 @@
 
  private:
   net::asio::awaitable<void> Serve(std::shared_ptr<CallerSession> session);
+  [[nodiscard]] CallerLimits LimitsInForce() const;
   net::asio::awaitable<void> ServeRequests(std::shared_ptr<CallerSession> session);
   net::asio::awaitable<void> Answer(CallerSession& session, net::Request message);
   net::asio::awaitable<void> AnswerProblem(CallerSession& session, ReadProblem problem);
--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,11 +23,16 @@
 /// A caller's connection: reads requests and writes their answers, one at a time.
 class CallerSession : public std::enable_shared_from_this<CallerSession> {
  public:
+  /// Returns the limits of the configuration in force.
+  using LimitsSource = std::function<CallerLimits()>;
+
   /// @param stop set while the node shuts down; the connection then closes after an answer.
   CallerSession(net::tcp::socket socket, const bool& stop);
 
   /// Waits for a request and reads all of it.
-  net::asio::awaitable<std::variant<net::Request, ReadProblem>> ReadRequest(CallerLimits limits);
+  /// @param limits asked again when the idle time is over and when the request begins: the
+  ///   configuration may change during the wait.
+  net::asio::awaitable<std::variant<net::Request, ReadProblem>> ReadRequest(LimitsSource limits);
 
   /// Watches whether the caller closes the connection while its request is in flight.
   /// @param scope cancelled when the caller has disconnected; must live until StopWatch().
@@ -60,7 +66,9 @@
  private:
   using Parser = net::http::request_parser<net::http::string_body>;
 
-  net::asio::awaitable<bool> AwaitFirstByte(CallerLimits limits);
+  net::asio::awaitable<bool> AwaitFirstByte(const LimitsSource& limits);
+  /// Closes the connection when it has been idle for the time allowed.
+  void WatchIdleTime(const LimitsSource& limits);
   net::asio::awaitable<net::ErrorCode> ReadWhole(Parser& parser, CallerLimits limits);
   void Watch();
   void OnReadable(net::ErrorCode error);
@@ -68,6 +76,8 @@
 
   net::beast::tcp_stream stream;
   net::beast::flat_buffer buffer;
+  net::asio::steady_timer idle_timer;
+  net::SteadyTime idle_since;
   const bool& stop;
   CancelScope* watched = nullptr;
   bool wait_pending = false;
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -99,11 +99,15 @@
   this->sessions.erase(session);
 }
 
+CallerLimits CallerServer::LimitsInForce() const {
+  const std::shared_ptr<const ServingConfig>& config = this->gateway.routes.Config();
+  return config ? config->limits : CallerLimits{};
+}
+
 awaitable<void> CallerServer::ServeRequests(std::shared_ptr<CallerSession> session) {
   while (session->IsOpen()) {
-    const CallerLimits limits =
-        this->gateway.routes.Config() ? this->gateway.routes.Config()->limits : CallerLimits{};
-    std::variant<net::Request, ReadProblem> read = co_await session->ReadRequest(limits);
+    std::variant<net::Request, ReadProblem> read =
+        co_await session->ReadRequest([this] { return this->LimitsInForce(); });
     if (const auto* problem = std::get_if<ReadProblem>(&read)) {
       co_await this->AnswerProblem(*session, *problem);
       session->Abort();
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -37,17 +37,35 @@
 }  // namespace
 
 CallerSession::CallerSession(net::tcp::socket socket, const bool& stop)
-    : stream(std::move(socket)), stop(stop) {
+    : stream(std::move(socket)), idle_timer(this->stream.get_executor()), stop(stop) {
   net::SetSocketOptions(this->stream.socket(), kTcpSilenceTimeout);
 }
 
-awaitable<bool> CallerSession::AwaitFirstByte(CallerLimits limits) {
+void CallerSession::WatchIdleTime(const LimitsSource& limits) {
+  this->idle_timer.expires_at(this->idle_since + limits().idle_timeout);
+  this->idle_timer.async_wait(
+      [self = this->shared_from_this(), limits](const net::ErrorCode& error) {
+        if (error || !self->is_idle) {
+          return;
+        }
+        if (net::Now() < self->idle_since + limits().idle_timeout) {
+          self->WatchIdleTime(limits);
+        } else {
+          self->CloseIfIdle();
+        }
+      });
+}
+
+awaitable<bool> CallerSession::AwaitFirstByte(const LimitsSource& limits) {
   if (this->buffer.size() > 0) {
     co_return true;
   }
-  this->stream.expires_after(limits.idle_timeout);
+  this->stream.expires_never();  // it would close the socket even if bytes have arrived
+  this->idle_since = net::Now();
+  this->WatchIdleTime(limits);
   const auto [error, read] =
       co_await this->stream.async_read_some(this->buffer.prepare(kReadBytes), net::kAwaitWithError);
+  this->idle_timer.cancel();
   this->buffer.commit(read);
   co_return !error;
 }
@@ -73,13 +91,14 @@
   co_return body_error;
 }
 
-awaitable<std::variant<net::Request, ReadProblem>> CallerSession::ReadRequest(CallerLimits limits) {
+awaitable<std::variant<net::Request, ReadProblem>> CallerSession::ReadRequest(LimitsSource source) {
   this->is_idle = true;
-  const bool begun = co_await this->AwaitFirstByte(limits);
+  const bool begun = co_await this->AwaitFirstByte(source);
   if (!begun) {
     co_return ReadProblem::kClosed;
   }
   this->is_idle = false;
+  const CallerLimits limits = source();
   Parser parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
--- a/src/gateway/tests/caller_session_test.cc
+++ b/src/gateway/tests/caller_session_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <thread>
 
 namespace lentilhead::gateway {
 namespace {
@@ -23,7 +24,7 @@
   /// Answers requests until the connection ends, and counts the requests read and answers sent.
   asio::awaitable<void> Serve() {
     while (this->session->IsOpen()) {
-      const auto read = co_await this->session->ReadRequest(CallerLimits{});
+      const auto read = co_await this->session->ReadRequest([this] { return this->limits; });
       if (!std::holds_alternative<net::Request>(read)) {
         this->session->Abort();
         co_return;
@@ -49,6 +50,7 @@
 
   asio::io_context loop{1};
   bool stop = false;
+  CallerLimits limits;
   asio::ip::tcp::acceptor acceptor;
   asio::ip::tcp::socket caller{this->loop};
   std::shared_ptr<CallerSession> session;
@@ -83,6 +85,43 @@
   CHECK_FALSE(fixture.session->IsOpen());
 }
 
+TEST_CASE("an idle connection stays open while the limits in force allow it") {
+  SessionFixture fixture;
+  fixture.limits.idle_timeout = milliseconds(20);
+  asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
+  fixture.loop.run_for(milliseconds(5));
+  fixture.limits.idle_timeout = milliseconds(80);
+  fixture.loop.run_for(milliseconds(40));
+  CHECK(fixture.session->IsOpen());
+  fixture.loop.run_for(milliseconds(80));
+  CHECK_FALSE(fixture.session->IsOpen());
+}
+
+TEST_CASE("a request is read by the limits that are in force when it begins") {
+  SessionFixture fixture;
+  fixture.limits.header_bytes = 8;
+  asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
+  fixture.loop.run_for(milliseconds(5));
+  fixture.limits.header_bytes = 1000;
+  asio::write(fixture.caller, asio::buffer(std::string(kRequest)));
+  fixture.loop.run_for(milliseconds(20));
+  CHECK(fixture.answers_sent == 1);
+}
+
+TEST_CASE("a request that arrived before the idle time was over is read after a stall") {
+  for (int handlers = 0; handlers < 4; ++handlers) {
+    CAPTURE(handlers);
+    SessionFixture fixture;
+    fixture.limits.idle_timeout = milliseconds(10);
+    asio::co_spawn(fixture.loop, fixture.Serve(), asio::detached);
+    fixture.Step(handlers);
+    asio::write(fixture.caller, asio::buffer(std::string(kRequest)));
+    std::this_thread::sleep_for(milliseconds(20));
+    fixture.loop.run_for(milliseconds(5));
+    CHECK(fixture.answers_sent == 1);
+  }
+}
+
 TEST_CASE("a caller's disconnect is detected while its request is in flight") {
   SessionFixture fixture;
   CancelScope cancel;
