--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -99,11 +99,15 @@
   this->sessions.erase(session);
 }
 
+CallerLimits CallerServer::LimitsInForce() const {
+  const std::shared_ptr<const ServingConfig>& config = this->gateway.routes.Config();
+  return config ? config->limits : CallerLimits{};
+}
+
 awaitable<void> CallerServer::ServeRequests(std::shared_ptr<CallerSession> session) {
   while (session->IsOpen()) {
-    const CallerLimits limits =
-        this->gateway.routes.Config() ? this->gateway.routes.Config()->limits : CallerLimits{};
-    std::variant<net::Request, ReadProblem> read = co_await session->ReadRequest(limits);
+    std::variant<net::Request, ReadProblem> read =
+        co_await session->ReadRequest([this] { return this->LimitsInForce(); });
     if (const auto* problem = std::get_if<ReadProblem>(&read)) {
       co_await this->AnswerProblem(*session, *problem);
       session->Abort();
@@ -205,10 +209,13 @@
     co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
-  const bool on_job =
-      this->gateway.routes.HasBatchRoute(request.host) && this->is_job_call(request);
-  routed.route = on_job ? nullptr : this->gateway.routes.Match(request.host, request.path);
-  if (!on_job && routed.route == nullptr) {
+  routed.route = this->gateway.routes.Match(request.host, request.path);
+  // A job outlives its route: calls on it are served where no other route takes their path.
+  const bool on_job = this->is_job_call(request) &&
+                      (routed.route == nullptr || this->gateway.routes.HasBatchRoute(request.host));
+  if (on_job) {
+    routed.route = nullptr;
+  } else if (routed.route == nullptr) {
     net::LogLine("request_rejected")
         .With("request", request.id)
         .With("reason", "no_route")
