Start items of other services while one service has no free slot

What callers saw: after a configuration had moved a batch route to a service without endpoints, or while all slots of a service were taken, jobs of all other services stood still on the node. Cause: only the most urgent item was tried; without a free slot for it nothing was started. Change: services without a free slot are passed over, and the most urgent item of the others starts. Before: a_job_whose_route_moves_to_a_service_without_endpoints_holds_up_no_other of planned_changes_test fails, no item is done after 3 s. After: passes.

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -204,10 +204,8 @@
   }
 }
 
-bool JobService::StartNextItem() {
-  Job next;
-  std::size_t next_item = 0;
-  const gateway::Route* route = nullptr;
+std::optional<JobService::ItemStart> JobService::NextStart(const std::set<std::string>& full) {
+  std::optional<ItemStart> next;
   ItemCandidate best;
   const net::SteadyTime now = net::Now();
   for (const auto& [id, job] : this->owned) {
@@ -218,33 +216,38 @@
     if (!item) {
       continue;
     }
-    const gateway::Route* matched =
+    const gateway::Route* route =
         this->gateway.routes.Match(job->claim.host, job->items.Spec(*item).path);
-    const bool exists = matched != nullptr && matched->kind == gateway::RouteKind::kBatch;
+    const bool exists = route != nullptr && route->kind == gateway::RouteKind::kBatch;
     this->GiveUpIfRouteMissing(job, exists);
     if (!exists) {
       continue;
     }
+    const std::string service = gateway::RouteTable::PickService(*route, net::RandomFraction());
+    if (full.contains(service)) {
+      continue;
+    }
     const ItemCandidate candidate = this->CandidateOf(*job, *item);
     if (!next || ItemOrder::StartsBefore(candidate, best)) {
-      next = job;
-      next_item = *item;
-      route = matched;
+      next = ItemStart{job, *item, service};
       best = candidate;
     }
   }
-  if (!next) {
-    return false;
-  }
-  gateway::ChoiceRequest choice{gateway::RouteTable::PickService(*route, net::RandomFraction()),
-                                {},
-                                gateway::WorkClass::kBatch};
-  gateway::AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
-  if (!admitted.lease) {
-    return false;
+  return next;
+}
+
+bool JobService::StartNextItem() {
+  std::set<std::string> full;  // services without a free slot
+  while (std::optional<ItemStart> next = this->NextStart(full)) {
+    gateway::ChoiceRequest choice{next->service, {}, gateway::WorkClass::kBatch};
+    gateway::AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
+    if (admitted.lease) {
+      this->StartItem(next->job, next->item, std::move(admitted.lease));
+      return true;
+    }
+    full.insert(std::move(next->service));
   }
-  this->StartItem(next, next_item, std::move(admitted.lease));
-  return true;
+  return false;
 }
 
 void JobService::StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease) {
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,11 +79,20 @@
  private:
   using Job = std::shared_ptr<internal::OwnedJob>;
 
+  /// The item to start next, and the service that it goes to.
+  struct ItemStart {
+    Job job;
+    std::size_t item = 0;
+    std::string service;
+  };
+
   /// Adds a job that this node owns from now on, unless its claim has changed since it was read.
   /// @return whether the job was added.
   [[nodiscard]] bool Own(Job job);
   void Drop(const Job& job, std::string_view reason);
   void HandleRemovedClaim(const std::string& job);
+  /// Returns the most urgent item that may start. @param full services that are passed over.
+  [[nodiscard]] std::optional<ItemStart> NextStart(const std::set<std::string>& full);
   bool StartNextItem();
   [[nodiscard]] ItemCandidate CandidateOf(const internal::OwnedJob& job, std::size_t item) const;
   /// Returns the attempt at an endpoint that is to yield next, or null.
