End the lenient phase of a leaving node by the lag of its event loop, not by a fixed time

Change: the phase lasts 2.8 s less the lag of the event loop, by which the signal may have been late.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -277,15 +277,16 @@
   gateway::ShutdownTimes& shutdown = this->gateway.shutdown;
   shutdown.started = net::Now();
   shutdown.grace = this->settings.stop_grace;
+  shutdown.lag = this->loop_lag.Longest();
   shutdown.exits_at =
-      gateway::ShutdownPolicy::ExitAt(shutdown.started, shutdown.grace, this->loop_lag.Longest());
+      gateway::ShutdownPolicy::ExitAt(shutdown.started, shutdown.grace, shutdown.lag);
   this->gateway.stopping = true;
   this->peers.NoteChange();
   net::LogLine("leaving")
       .With("in_flight", this->caller_server.RequestsInFlight())
       .With("sessions", this->caller_server.OpenConnections())
       .With("jobs", this->job_service.OwnedCount())
-      .With("loop_lag_ms", this->loop_lag.Longest().count())
+      .With("loop_lag_ms", shutdown.lag.count())
       .With("exits_in_ms", net::ToMilliseconds(shutdown.exits_at - shutdown.started).count());
   this->job_service.HandOver();
   co_await this->FinishRequests();
@@ -306,7 +307,8 @@
     timer.expires_after(kLeavePollPeriod);
     co_await timer.async_wait(net::kAwaitWithError);
     this->loop_lag.Record(net::Now() - timer.expiry());
-    shutdown.exits_at = gateway::ShutdownPolicy::RevisedExit(shutdown, this->loop_lag.Longest());
+    shutdown.lag = this->loop_lag.Longest();
+    shutdown.exits_at = gateway::ShutdownPolicy::RevisedExit(shutdown);
   }
 }
 
--- a/src/gateway/internal/shutdown_policy.cc
+++ b/src/gateway/internal/shutdown_policy.cc
@@ -8,9 +8,8 @@
 
 using std::chrono::milliseconds;
 
-// Two failed readiness checks, one a second, take the node out of rotation. The signal may have
-// been noticed late.
-constexpr milliseconds kLenientTime{2500};
+// Two failed readiness checks, one a second, take the node out of rotation.
+constexpr milliseconds kLenientTime{2800};
 constexpr milliseconds kCloseTime{400};  // to end the open requests and to exit, on an idle machine
 // The stop signal, the answers and the exit may each be delayed by the event loop.
 constexpr int kDelayedSteps = 3;
@@ -25,8 +24,8 @@
   return started + grace - std::min(margin, grace / kLastPartOfGrace);
 }
 
-net::SteadyTime ShutdownPolicy::RevisedExit(const ShutdownTimes& times, milliseconds lag) {
-  const net::SteadyTime wanted = ExitAt(times.started, times.grace, lag);
+net::SteadyTime ShutdownPolicy::RevisedExit(const ShutdownTimes& times) {
+  const net::SteadyTime wanted = ExitAt(times.started, times.grace, times.lag);
   return std::min(times.exits_at, std::max(wanted, times.promised_until));
 }
 
@@ -41,7 +40,8 @@
     return true;
   }
   const auto left = times.exits_at - now;
-  const bool is_draining_listener = now < times.started + kLenientTime;
+  // The signal may have been noticed late by the lag.
+  const bool is_draining_listener = now + times.lag < times.started + kLenientTime;
   const bool usually_ends = !request.usual || *request.usual <= left;
   return is_draining_listener && left > milliseconds(0) && usually_ends;
 }
--- a/src/gateway/shutdown_policy.h
+++ b/src/gateway/shutdown_policy.h
@@ -22,8 +22,7 @@
 
   /// Time of the exit after a new estimate of the lag: not before the end of what was accepted for
   /// certain, and never later than planned before.
-  [[nodiscard]] static net::SteadyTime RevisedExit(const ShutdownTimes& times,
-                                                   std::chrono::milliseconds lag);
+  [[nodiscard]] static net::SteadyTime RevisedExit(const ShutdownTimes& times);
 
   /// Whether a request ends before the exit in any case.
   [[nodiscard]] static bool EndsBeforeExit(const ShutdownTimes& times, const RequestSpan& request,
--- a/src/gateway/tests/shutdown_policy_test.cc
+++ b/src/gateway/tests/shutdown_policy_test.cc
@@ -13,7 +13,7 @@
 const net::SteadyTime kStart = net::SteadyTime{} + std::chrono::hours(1);
 
 ShutdownTimes TimesWithLag(milliseconds lag, milliseconds grace = kGrace) {
-  return {kStart, grace, ShutdownPolicy::ExitAt(kStart, grace, lag), {}};
+  return {kStart, grace, lag, ShutdownPolicy::ExitAt(kStart, grace, lag), {}};
 }
 
 TEST_CASE("the exit leaves room before the kill, and uses five sixths of the grace period") {
@@ -58,19 +58,23 @@
   ShutdownTimes times = TimesWithLag(milliseconds(0));
   const net::SteadyTime first_exit = times.exits_at;
   times.promised_until = first_exit - milliseconds(100);
-  times.exits_at = ShutdownPolicy::RevisedExit(times, milliseconds(300));
+  times.lag = milliseconds(300);
+  times.exits_at = ShutdownPolicy::RevisedExit(times);
   CHECK(times.exits_at == first_exit - milliseconds(100));
-  CHECK(ShutdownPolicy::RevisedExit(times, milliseconds(0)) == times.exits_at);
+  times.lag = milliseconds(0);
+  CHECK(ShutdownPolicy::RevisedExit(times) == times.exits_at);
   times.promised_until = {};
-  CHECK(ShutdownPolicy::RevisedExit(times, milliseconds(300)) ==
+  times.lag = milliseconds(300);
+  CHECK(ShutdownPolicy::RevisedExit(times) ==
         ShutdownPolicy::ExitAt(kStart, kGrace, milliseconds(300)));
 }
 
 TEST_CASE("a stop signal noticed late lets in nothing that the exit may cut") {
-  const ShutdownTimes times = TimesWithLag(milliseconds(0));
-  const milliseconds noticed_late(400);
-  const net::SteadyTime now = kStart + ShutdownPolicy::kListenerDrainTime - noticed_late;
-  CHECK_FALSE(ShutdownPolicy::Accepts(times, {milliseconds(30000), std::nullopt}, now));
+  for (const milliseconds late : {milliseconds(0), milliseconds(100), milliseconds(400)}) {
+    const ShutdownTimes times = TimesWithLag(late);
+    const net::SteadyTime now = kStart + ShutdownPolicy::kListenerDrainTime - late;
+    CHECK_FALSE(ShutdownPolicy::Accepts(times, {milliseconds(30000), std::nullopt}, now));
+  }
 }
 
 TEST_CASE("nothing is accepted at the exit") {
