Split events with work linear in the bytes received

Cause: with each read EventSplitter searched the whole unfinished event again. Change: it keeps where its search stopped, and counts the bytes examined.

--- a/src/gateway/internal/event_splitter.cc
+++ b/src/gateway/internal/event_splitter.cc
@@ -30,18 +30,22 @@
   return line;
 }
 
-/// Returns the last numeric id of an event, or nothing.
-std::optional<std::int64_t> IdOf(std::string_view event) {
-  std::optional<std::int64_t> id;
-  while (!event.empty()) {
-    const auto value = ValueOf(TakeLine(event), "id");
+/// Returns the event with its last numeric id, if it has one.
+StreamEvent MakeEvent(std::string bytes) {
+  StreamEvent event;
+  event.bytes = std::move(bytes);
+  std::string_view text = event.bytes;
+  while (!text.empty()) {
+    const std::string_view line = TakeLine(text);
+    const auto value = ValueOf(line, "id");
+    event.has_content = event.has_content || value || ValueOf(line, "data");
     std::int64_t number = 0;
     if (value &&
         std::from_chars(value->data(), value->data() + value->size(), number).ec == std::errc()) {
-      id = number;
+      event.id = number;
     }
   }
-  return id;
+  return event;
 }
 
 }  // namespace
@@ -50,22 +54,26 @@
   std::vector<StreamEvent> events;
   this->rest += bytes;
   std::size_t start = 0;
-  std::size_t line = 0;
   while (true) {
-    const std::size_t end = this->rest.find('\n', line);
+    const std::size_t end = this->rest.find('\n', this->searched);
+    const std::size_t next = end == std::string::npos ? this->rest.size() : end + 1;
+    this->examined += next - this->searched;
+    this->searched = next;
     if (end == std::string::npos) {
       break;
     }
-    const bool empty = end == line || (end == line + 1 && this->rest[line] == '\r');
-    line = end + 1;
+    const bool empty =
+        end == this->line || (end == this->line + 1 && this->rest[this->line] == '\r');
+    this->line = next;
     if (empty) {
-      std::string event = this->rest.substr(start, line - start);
-      const std::optional<std::int64_t> id = IdOf(event);
-      events.push_back({std::move(event), id});
-      start = line;
+      this->examined += next - start;
+      events.push_back(MakeEvent(this->rest.substr(start, next - start)));
+      start = next;
     }
   }
   this->rest.erase(0, start);
+  this->line -= start;
+  this->searched -= start;
   return events;
 }
 
--- a/src/gateway/tests/event_splitter_test.cc
+++ b/src/gateway/tests/event_splitter_test.cc
@@ -5,6 +5,9 @@
 namespace lentilhead::gateway::internal {
 namespace {
 
+constexpr std::size_t kPieceBytes = 4096;
+constexpr std::size_t kPieces = (16 << 20) / kPieceBytes;
+
 TEST_CASE("events end at empty lines however the bytes are split") {
   const std::string stream = "id: 1\ndata: one\n\nid:2\r\ndata:two\r\n\r\nid: 3\ndata: th";
   for (std::size_t split = 0; split <= stream.size(); ++split) {
@@ -22,6 +25,48 @@
   }
 }
 
+TEST_CASE("events without id and data have no content") {
+  EventSplitter splitter;
+  const std::vector<StreamEvent> events =
+      splitter.Add("\n\r\n: comment\n\nretry: 5\n\nid: 7\n\ndata:\n\ndata: a\n\n");
+  REQUIRE(events.size() == 7);
+  for (std::size_t index = 0; index < events.size(); ++index) {
+    CHECK(events[index].has_content == (index == 4 || index >= 5));
+  }
+}
+
+std::uint64_t ExaminedBytes(const std::string& piece, std::size_t count, std::size_t* events) {
+  EventSplitter splitter;
+  for (std::size_t number = 0; number < count; ++number) {
+    *events += splitter.Add(piece).size();
+  }
+  return splitter.ExaminedBytes();
+}
+
+TEST_CASE("an unfinished event is not searched again with each piece") {
+  const std::string without_lines(kPieceBytes, 'x');
+  std::string lines;
+  while (lines.size() < kPieceBytes) {
+    lines += "data: x\n";
+  }
+  for (const std::string& piece : {without_lines, lines}) {
+    std::size_t events = 0;
+    CHECK(ExaminedBytes(piece, kPieces, &events) <= kPieces * piece.size());
+    CHECK(events == 0);
+  }
+}
+
+TEST_CASE("each byte of complete events is examined twice at most") {
+  std::string piece;
+  while (piece.size() < kPieceBytes) {
+    piece += "id: 1\ndata: one\n\n";
+  }
+  std::size_t events = 0;
+  const std::string with_rest = piece + "data: th";
+  CHECK(ExaminedBytes(with_rest, kPieces, &events) <= kPieces * with_rest.size() * 2);
+  CHECK(events > kPieces);
+}
+
 TEST_CASE("data lines of an event are joined") {
   CHECK(DataOf("id: 1\ndata: a\ndata: b\n\n") == "a\nb");
   CHECK(DataOf("x-weight-versions: 4\nid: 1\ndata: a\n\n") == "a");
