Bound what one answer of an endpoint may cost in time and bytes

What callers saw: an answer whose bytes never end stayed open until the caller closed; an event without end got no answer until the deadline or beyond; an interim (1xx) head was delivered as the final answer; a refusal whose body trickles held the request until its deadline. Cause: Beast's time limit is set anew by each read, and a read that finds bytes completes before its timer can fire, so no time limit held while bytes kept coming. Nothing bounded the bytes: the buffer of a connection grew with a chunk extension or a trailer, an event or a body had no limit. Each read also restarted the watch for silence. Change: all reads of an answer go through EndpointAttempt::ReadSome, which fails a read that is asked for after its time limit. AnswerLimits bounds heads, interim heads, chunk heads and trailers, the whole answer, an unfinished event and discarded bytes. An answer beyond one fails as over_limit: its connection is closed, the failure counts for ejection, answer_over_limit is logged with bytes and limit and counted per bound in gateway_answers_over_limit_total. Bytes that complete no event with an id or data are silence. The rest of a refusal is read for 250 ms at most. Reads of large answers use a larger buffer. Limits: 128 MB is twice the largest answer that node_path_test passes on, and an answer is not held in memory; 1 MB for an event, which is held, is the size of the largest page of results; 64 KB for a head is as before; 256 KB to discard is what the node buffers of an answer.

--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -9,16 +9,19 @@
 
 /// State of a streamed answer after a read.
 enum class StreamState {
-  kMore,      ///< more events may follow
-  kComplete,  ///< the last event was received
-  kEmpty,     ///< the connection ended before any event: broken, or nothing was left to send
-  kBroken,    ///< broken off between events or inside one
-  kTimedOut,  ///< the time limit passed first
+  kMore,       ///< more events may follow
+  kComplete,   ///< the last event was received
+  kEmpty,      ///< the connection ended before any event: broken, or nothing was left to send
+  kBroken,     ///< broken off between events or inside one
+  kTimedOut,   ///< the time limit passed first
+  kOverLimit,  ///< the answer exceeds one of AnswerLimits
 };
 
 /// Events of a streamed answer from one read.
 struct StreamPart {
   std::vector<StreamEvent> events;
+  /// Whether an event has an id or data; others, such as comments, do not advance the stream.
+  bool has_advanced = false;
   StreamState state = StreamState::kMore;
 };
 
@@ -37,6 +40,11 @@
   /// Number of bytes received after the last complete event.
   [[nodiscard]] std::size_t UnfinishedBytes() const { return this->splitter.Rest().size(); }
 
+  /// Closes the connection of an answer that exceeds a limit; logs and counts it.
+  void AbortOverLimit(AnswerBound bound, std::size_t amount) {
+    this->attempt.AbortOverLimit(bound, amount);
+  }
+
  private:
   [[nodiscard]] StreamState StateAfter(BodyState body) const;
 
@@ -44,6 +52,7 @@
   AnswerFraming framing;
   EventSplitter splitter;
   bool has_events = false;
+  std::size_t since_advance = 0;  ///< bytes received since the stream advanced
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -23,8 +23,21 @@
 constexpr milliseconds kDefaultIdleLimit{1000};
 constexpr milliseconds kMaxStaleResetDelay{40};  // the reset arrives within a round trip
 constexpr milliseconds kMinStaleIdle{50};  // a reset after less idle time is due to the request
-constexpr std::uint32_t kMaxHeadBytes = 64 << 10;  // far above the size of real heads
-constexpr int kMaxLateAnswers = 3;                 // answers to earlier requests to discard
+constexpr int kMaxLateAnswers = 3;         // answers to earlier requests to discard
+// The buffer grows for answers beyond this, so that they take fewer reads.
+constexpr std::size_t kLargeAnswerBytes = 32 << 10;
+constexpr std::size_t kLargeReadBytes = 64 << 10;
+
+bool IsOverLimit(const net::ErrorCode& error) {
+  return error == net::http::error::header_limit || error == net::http::error::buffer_overflow;
+}
+
+BodyState StateAfter(const net::ErrorCode& error) {
+  if (error == net::beast::error::timeout) {
+    return BodyState::kTimedOut;
+  }
+  return IsOverLimit(error) ? BodyState::kOverLimit : BodyState::kBroken;
+}
 
 /// Writes a request, concurrently with the read of its answer.
 awaitable<void> WriteRequest(ConnectionPool::Connection connection,
@@ -86,13 +99,14 @@
   const ConnectionPool::Connection held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
   held->is_written = false;
+  this->request_id = std::move(request_id);
+  this->discarded = 0;
   held->sent_at = net::Now();
   held->stream.expires_at(limits.answer_by);
   auto shared_message = std::make_shared<net::Request>(std::move(message));
   net::Spawn(this->gateway.executor, "write_request",
              WriteRequest(held, std::move(shared_message)));
-  StartOutcome outcome =
-      co_await this->ReadHead(std::move(request_id), is_head_request, limits.answer_by);
+  StartOutcome outcome = co_await this->ReadHead(is_head_request, limits.answer_by);
   if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
     if (*failure == AttemptFailure::kStale) {
       EndpointFeedback::RecordStaleConnection(*this->endpoint, held->idle_before, net::Now());
@@ -102,27 +116,68 @@
   co_return outcome;
 }
 
-awaitable<bool> EndpointAttempt::DiscardAnswer(net::SteadyTime until) {
-  BodyState state = BodyState::kMore;
-  while (state == BodyState::kMore) {
-    this->connection->stream.expires_at(until);
-    const auto [error, read] = co_await net::http::async_read_some(
-        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+awaitable<net::ErrorCode> EndpointAttempt::ReadSome(net::SteadyTime until) {
+  if (net::Now() >= until) {
+    co_return net::ErrorCode(net::beast::error::timeout);
+  }
+  const ConnectionPool::Connection held = this->connection;
+  if (this->received > kLargeAnswerBytes) {
+    held->buffer.reserve(kLargeReadBytes);
+  }
+  held->stream.expires_at(until);
+  const auto [error, read] = co_await net::http::async_read_some(
+      held->stream, held->buffer, *this->parser, net::kAwaitWithError);
+  this->received += read;
+  co_return error;
+}
+
+void EndpointAttempt::AbortForSize() {
+  const std::size_t unread = this->connection->buffer.size();
+  this->AbortOverLimit(this->parser->is_header_done() ? AnswerBound::kFraming : AnswerBound::kHead,
+                       unread);
+}
+
+void EndpointAttempt::AbortOverLimit(AnswerBound bound, std::size_t amount) {
+  net::LogLine("answer_over_limit")
+      .With("request", this->request_id)
+      .With("endpoint", this->endpoint->entry.id)
+      .With("bound", NameOf(bound))
+      .With("bytes", amount)
+      .With("limit", LimitOf(bound))
+      .With("received", this->received);
+  this->gateway.metrics
+      .GetCounter("gateway_answers_over_limit_total", {{"bound", std::string(NameOf(bound))}})
+      .Add();
+  this->Abort();
+}
+
+awaitable<std::optional<AttemptFailure>> EndpointAttempt::DiscardAnswer(net::SteadyTime until) {
+  while (!this->parser->is_done()) {
+    const net::ErrorCode error = co_await this->ReadSome(until);
     if (error) {
-      co_return false;
+      co_return this->FailureOf(error);
     }
     this->parser->get().body().clear();
-    state = this->parser->is_done() ? BodyState::kEnd : BodyState::kMore;
+    if (this->discarded + this->received > AnswerLimits::kMaxDiscardedBytes) {
+      this->AbortOverLimit(AnswerBound::kDiscarded, this->discarded + this->received);
+      co_return AttemptFailure::kOverLimit;
+    }
   }
-  co_return true;
+  this->discarded += this->received;
+  co_return std::nullopt;
 }
 
-AttemptFailure EndpointAttempt::FailureOf(const net::ErrorCode& error) const {
+AttemptFailure EndpointAttempt::FailureOf(const net::ErrorCode& error) {
   if (error == net::beast::error::timeout) {
     return AttemptFailure::kTimedOut;
   }
+  if (IsOverLimit(error)) {
+    this->AbortForSize();
+    return AttemptFailure::kOverLimit;
+  }
   const EndpointConnection& used = *this->connection;
-  const bool nothing_read = used.buffer.size() == 0 && !this->parser->got_some();
+  const bool nothing_read =
+      used.buffer.size() == 0 && !this->parser->got_some() && this->discarded == 0;
   const bool was_prompt = net::Now() - used.sent_at < kMaxStaleResetDelay;
   const bool was_idle = used.is_reused && used.idle_before >= kMinStaleIdle;
   return was_idle && nothing_read && was_prompt && !this->cancel.IsCancelled()
@@ -130,32 +185,56 @@
              : AttemptFailure::kUnknown;
 }
 
-awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::ReadHead(std::string request_id,
-                                                                   bool is_head_request,
+awaitable<net::ErrorCode> EndpointAttempt::ReadNextHead(bool is_head_request,
+                                                        net::SteadyTime until) {
+  this->parser = std::make_unique<Parser>();
+  this->parser->header_limit(AnswerLimits::kMaxHeadBytes);
+  this->parser->body_limit(boost::none);
+  this->parser->skip(is_head_request);
+  this->received = 0;
+  net::ErrorCode error;
+  while (!error && !this->parser->is_header_done()) {
+    error = co_await this->ReadSome(until);
+  }
+  co_return error;
+}
+
+awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::ReadHead(bool is_head_request,
                                                                    net::SteadyTime until) {
-  for (int answers = 0; answers <= kMaxLateAnswers; ++answers) {
-    this->parser = std::make_unique<Parser>();
-    this->parser->header_limit(kMaxHeadBytes);
-    this->parser->body_limit(boost::none);
-    this->parser->skip(is_head_request);
-    this->connection->stream.expires_at(until);
-    const auto [error, read] = co_await net::http::async_read_header(
-        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+  std::size_t interim_heads = 0;
+  int late_answers = 0;
+  while (late_answers <= kMaxLateAnswers) {
+    const net::ErrorCode error = co_await this->ReadNextHead(is_head_request, until);
     if (error) {
       co_return this->FailureOf(error);
     }
+    const bool is_interim = this->parser->get().result_int() / 100 == 1;
+    if (is_interim && ++interim_heads > AnswerLimits::kMaxInterimHeads) {
+      this->AbortOverLimit(AnswerBound::kInterimHeads, interim_heads);
+      co_return AttemptFailure::kOverLimit;
+    }
+    if (is_interim) {
+      this->discarded += this->received;
+      continue;
+    }
     AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
     answer.decoded = platform::DecodeAnswer(answer.head);
     this->RecordIfLeaving(answer.decoded);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
-    if (answered == request_id || (answered.empty() && !is_success)) {
+    if (answered == this->request_id || (answered.empty() && !is_success)) {
+      const std::uint64_t length = this->parser->content_length().value_or(0);
+      if (!is_head_request && length > AnswerLimits::kMaxAnswerBytes) {
+        this->AbortOverLimit(AnswerBound::kAnswer, length);
+        co_return AttemptFailure::kOverLimit;
+      }
       co_return answer;
     }
-    const bool passed = co_await this->DiscardAnswer(until);
-    if (!passed) {
-      co_return AttemptFailure::kUnknown;
+    const std::optional<AttemptFailure> failure = co_await this->DiscardAnswer(until);
+    if (failure) {
+      co_return *failure;
     }
+    ++late_answers;
   }
   co_return AttemptFailure::kUnknown;
 }
@@ -192,6 +271,9 @@
     return;
   }
   this->cancel.OnCancel(nullptr);
+  if (this->connection->buffer.capacity() >= kLargeReadBytes) {
+    this->connection->buffer.shrink_to_fit();
+  }
   const EndpointAnswer decoded = platform::DecodeAnswer(this->parser->get().base());
   this->connection->idle_limit =
       decoded.idle_limit ? milliseconds(*decoded.idle_limit) - kIdleMargin : kDefaultIdleLimit;
@@ -199,6 +281,14 @@
   this->connection.reset();
 }
 
+void EndpointAttempt::AbortAfter(const net::ErrorCode& error) {
+  if (IsOverLimit(error)) {
+    this->AbortForSize();
+  } else {
+    this->Abort();
+  }
+}
+
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
   BodyPiece piece;
   if (!this->connection) {
@@ -206,14 +296,18 @@
     co_return piece;
   }
   if (!this->parser->is_done()) {
-    this->connection->stream.expires_at(until);
-    const auto [error, read] = co_await net::http::async_read_some(
-        this->connection->stream, this->connection->buffer, *this->parser, net::kAwaitWithError);
+    const std::size_t before = this->received;
+    const net::ErrorCode error = co_await this->ReadSome(until);
     piece.bytes = std::exchange(this->parser->get().body(), std::string());
+    piece.received = this->received - before;
     if (error) {
-      const bool late = error == net::beast::error::timeout;
-      piece.state = late ? BodyState::kTimedOut : BodyState::kBroken;
-      this->Abort();
+      piece.state = StateAfter(error);
+      this->AbortAfter(error);
+      co_return piece;
+    }
+    if (this->received > AnswerLimits::kMaxAnswerBytes) {
+      piece.state = BodyState::kOverLimit;
+      this->AbortOverLimit(AnswerBound::kAnswer, this->received);
       co_return piece;
     }
   }
@@ -234,4 +328,19 @@
   co_return all;
 }
 
+awaitable<BodyState> EndpointAttempt::Discard(net::SteadyTime until) {
+  const net::SteadyTime limit = std::min(until, net::Now() + AnswerLimits::kMaxDiscardTime);
+  BodyPiece piece;
+  std::size_t bytes = 0;
+  while (piece.state == BodyState::kMore) {
+    piece = co_await this->ReadPiece(limit);
+    bytes += piece.received;
+    if (piece.state == BodyState::kMore && bytes > AnswerLimits::kMaxDiscardedBytes) {
+      piece.state = BodyState::kOverLimit;
+      this->AbortOverLimit(AnswerBound::kDiscarded, bytes);
+    }
+  }
+  co_return piece.state;
+}
+
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -7,6 +7,7 @@
 
 #include "gateway/cancel_scope.h"
 #include "gateway/internal/connection_pool.h"
+#include "gateway/types/answer_bound.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
 #include "gateway/types/endpoint_answer.h"
@@ -26,15 +27,17 @@
 
 /// State of an answer's body after a read.
 enum class BodyState {
-  kMore,      ///< more may follow
-  kEnd,       ///< the body is complete
-  kBroken,    ///< the connection was lost
-  kTimedOut,  ///< the time limit passed first
+  kMore,       ///< more may follow
+  kEnd,        ///< the body is complete
+  kBroken,     ///< the connection was lost
+  kTimedOut,   ///< the time limit passed first
+  kOverLimit,  ///< the answer exceeds one of AnswerLimits
 };
 
 /// Bytes of an answer's body from one read.
 struct BodyPiece {
   std::string bytes;
+  std::size_t received = 0;  ///< bytes of the answer, with the framing of the body
   BodyState state = BodyState::kMore;
 };
 
@@ -46,7 +49,8 @@
 };
 
 /// Sends one request to one endpoint and reads the answer. Returns the connection to the pool after
-/// a complete answer, otherwise closes it.
+/// a complete answer, otherwise closes it. Time limits hold and AnswerLimits apply whatever
+/// arrives.
 class EndpointAttempt {
  public:
   using StartOutcome = std::variant<AnswerHead, AttemptFailure>;
@@ -72,6 +76,16 @@
   /// @param until time limit of the read.
   net::asio::awaitable<BodyPiece> ReadRest(std::size_t most, net::SteadyTime until);
 
+  /// Reads the rest of an answer that nobody needs, so that its connection can be reused, or closes
+  /// the connection if the rest is long or slow.
+  /// @param until time limit of the read.
+  /// @return the state of the body; BodyState::kTimedOut also for a rest that is slow.
+  net::asio::awaitable<BodyState> Discard(net::SteadyTime until);
+
+  /// Closes the connection of an answer that exceeds a limit; logs and counts it.
+  /// @param amount what was received, in the unit of LimitOf(bound).
+  void AbortOverLimit(AnswerBound bound, std::size_t amount);
+
   /// Ends the read in progress, which then fails.
   void Interrupt();
 
@@ -82,10 +96,18 @@
   using Parser = net::http::response_parser<net::http::string_body>;
 
   net::asio::awaitable<bool> Connect(net::SteadyTime until, std::chrono::milliseconds longest_idle);
-  net::asio::awaitable<StartOutcome> ReadHead(std::string request_id, bool is_head_request,
-                                              net::SteadyTime until);
-  [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error) const;
-  net::asio::awaitable<bool> DiscardAnswer(net::SteadyTime until);
+  net::asio::awaitable<StartOutcome> ReadHead(bool is_head_request, net::SteadyTime until);
+  /// Reads available bytes of the answer. All reads of an answer go through here: an answer whose
+  /// bytes are always there would otherwise outlast the stream's own time limit.
+  net::asio::awaitable<net::ErrorCode> ReadSome(net::SteadyTime until);
+  net::asio::awaitable<net::ErrorCode> ReadNextHead(bool is_head_request, net::SteadyTime until);
+  [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error);
+  /// Reads the rest of an answer to another request. @return the failure, if there is one.
+  net::asio::awaitable<std::optional<AttemptFailure>> DiscardAnswer(net::SteadyTime until);
+  /// Closes the connection after the parser or the buffer refused the size of what was received.
+  void AbortForSize();
+  /// Closes the connection after a read of the body failed.
+  void AbortAfter(const net::ErrorCode& error);
   void RecordIfLeaving(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
   void Finish();
@@ -95,6 +117,9 @@
   CancelScope& cancel;
   ConnectionPool::Connection connection;
   std::unique_ptr<Parser> parser;
+  std::string request_id;
+  std::size_t received = 0;   ///< bytes of the current answer
+  std::size_t discarded = 0;  ///< bytes of interim heads and of answers to other requests
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "gateway/types/answer_limits.h"
 #include "gateway/types/endpoint_state.h"
 #include "net/http_types.h"
 
@@ -17,7 +18,7 @@
   EndpointConnection& operator=(const EndpointConnection&) = delete;
 
   net::beast::tcp_stream stream;
-  net::beast::flat_buffer buffer;
+  net::beast::flat_buffer buffer{AnswerLimits::kMaxFramingBytes};
   std::shared_ptr<EndpointState> endpoint;
   bool is_written = true;   ///< the last request has been written completely
   bool is_reused = false;   ///< has carried an earlier request
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -15,6 +15,18 @@
 
 constexpr milliseconds kWriteGrace{1000};  // a finished answer may be written after the deadline
 
+/// Cause of a failed attempt whose body ended in `state`.
+std::string_view CauseOf(BodyState state) {
+  switch (state) {
+    case BodyState::kOverLimit:
+      return NameOf(AttemptFailure::kOverLimit);
+    case BodyState::kTimedOut:
+      return "deadline";
+    default:
+      return "body_cut";
+  }
+}
+
 }  // namespace
 
 net::SteadyTime OnlineRun::WriteLimit() const {
@@ -35,8 +47,8 @@
   if (this->cancel.IsCancelled()) {
     co_return Step::kCancelled;
   }
-  if (body.state == BodyState::kBroken || body.state == BodyState::kTimedOut) {
-    co_return co_await this->AfterFailure(lease, "body_cut");
+  if (body.state != BodyState::kEnd && body.state != BodyState::kMore) {
+    co_return co_await this->AfterFailure(lease, CauseOf(body.state));
   }
   const int code = static_cast<int>(answer.head.result_int());
   if (code / 100 == 5 && this->routed.IsRepeatable() && this->MayRetry() && !this->stream_begun) {
@@ -55,7 +67,8 @@
     co_return Step::kDone;
   }
   if (body.state == BodyState::kMore) {
-    co_return co_await this->ForwardLargeAnswer(attempt, std::move(answer), std::move(body.bytes));
+    co_return co_await this->ForwardLargeAnswer(attempt, lease, std::move(answer),
+                                                std::move(body.bytes));
   }
   EndpointFeedback::RecordUnitLatency(lease.Endpoint(), net::Now() - this->routed.arrival);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
@@ -67,15 +80,21 @@
 }
 
 awaitable<OnlineRun::Step> OnlineRun::ForwardLargeAnswer(EndpointAttempt& attempt,
+                                                         const EndpointLease& lease,
                                                          AnswerHead answer,
                                                          std::string first_bytes) {
   this->stream_begun = true;
+  const net::SteadyTime start = net::Now();
+  std::chrono::nanoseconds caller_time{0};
   bool sent = co_await this->session.BeginChunks(platform::EncodeAnswerHead(answer.head),
                                                  this->WriteLimit());
-  BodyPiece piece{std::move(first_bytes), BodyState::kMore};
+  BodyPiece piece;
+  piece.bytes = std::move(first_bytes);
   while (sent) {
     if (!piece.bytes.empty()) {
+      const net::SteadyTime write_start = net::Now();
       sent = co_await this->session.SendChunk(std::move(piece.bytes), this->WriteLimit());
+      caller_time += net::Now() - write_start;
     }
     if (!sent || piece.state != BodyState::kMore) {
       break;
@@ -85,8 +104,16 @@
       co_return Step::kCancelled;
     }
   }
-  if (!sent || piece.state != BodyState::kEnd) {
-    co_await this->Fail(status::bad_gateway, sent ? "body_cut" : "caller_closed");
+  if (!sent) {
+    co_await this->Fail(status::bad_gateway, "caller_closed");
+    co_return Step::kDone;
+  }
+  if (piece.state != BodyState::kEnd) {
+    const bool caller_was_slow = 2 * caller_time > net::Now() - start;
+    if (piece.state != BodyState::kTimedOut || !caller_was_slow) {
+      EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
+    }
+    co_await this->Fail(status::bad_gateway, CauseOf(piece.state));
     co_return Step::kDone;
   }
   co_await this->session.EndChunks(this->WriteLimit());
@@ -146,10 +173,11 @@
   AnswerStream stream(attempt, answer.framing);
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
+  bool has_advanced = true;
   while (true) {
     const net::SteadyTime now = net::Now();
     const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
-    if (may_retry) {
+    if (may_retry && has_advanced) {
       this->silence.Start(this->stream_begun
                               ? AttemptPolicy::NextEventDeadline(*this->routed.route, now,
                                                                  this->routed.deadline, true)
@@ -157,7 +185,11 @@
                                                               this->routed.deadline, true));
     }
     StreamPart part = co_await stream.Read(this->routed.deadline);
-    const bool was_silent = this->silence.Stop();
+    has_advanced = part.has_advanced;
+    // Bytes that complete no event are silence, too.
+    const bool is_wait_over =
+        has_advanced || part.state != StreamState::kMore || this->cancel.IsCancelled();
+    const bool was_silent = is_wait_over && this->silence.Stop();
     this->unfinished_bytes = stream.UnfinishedBytes();
     if (this->cancel.IsCancelled()) {
       co_return Step::kCancelled;
@@ -171,6 +203,7 @@
       last_arrival = arrival;
       const bool sent = co_await this->ForwardEvents(std::move(part.events), answer);
       if (!sent) {
+        this->silence.Stop();
         this->Count("gone", "caller_closed");
         this->LogOutcome("gone", "caller_closed", 0);
         this->session.Abort();
@@ -182,7 +215,10 @@
     }
     if (was_silent || part.state != StreamState::kMore) {
       const bool silent = was_silent || part.state == StreamState::kTimedOut;
-      const std::string_view cause = silent ? kSilentStreamCause : std::string_view("stream_cut");
+      const bool over_limit = part.state == StreamState::kOverLimit;
+      const std::string_view cause = over_limit ? NameOf(AttemptFailure::kOverLimit)
+                                     : silent   ? kSilentStreamCause
+                                                : std::string_view("stream_cut");
       co_return co_await this->AfterFailure(lease, cause);
     }
   }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -315,7 +315,10 @@
 awaitable<OnlineRun::Step> OnlineRun::AfterNotExecuted(const EndpointLease& lease,
                                                        AnswerHead answer,
                                                        EndpointAttempt& attempt) {
-  co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->routed.deadline);
+  const BodyState rest = co_await attempt.Discard(this->routed.deadline);
+  if (rest == BodyState::kOverLimit) {
+    EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
+  }
   net::LogLine("attempt_not_executed")
       .With("request", this->routed.request.id)
       .With("endpoint", this->last_endpoint)
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -43,7 +43,8 @@
                                           AnswerHead answer);
   net::asio::awaitable<Step> ForwardWholeAnswer(EndpointAttempt& attempt,
                                                 const EndpointLease& lease, AnswerHead answer);
-  net::asio::awaitable<Step> ForwardLargeAnswer(EndpointAttempt& attempt, AnswerHead answer,
+  net::asio::awaitable<Step> ForwardLargeAnswer(EndpointAttempt& attempt,
+                                                const EndpointLease& lease, AnswerHead answer,
                                                 std::string first_bytes);
   net::asio::awaitable<Step> ForwardStream(EndpointAttempt& attempt, const EndpointLease& lease,
                                            AnswerHead answer);
--- a/src/gateway/types/attempt_failure.h
+++ b/src/gateway/types/attempt_failure.h
@@ -6,10 +6,11 @@
 
 /// How an attempt failed before the head of its answer was received.
 enum class AttemptFailure {
-  kNotSent,   ///< no byte of the request was written
-  kUnknown,   ///< the request was written at least in part; it may have run
-  kTimedOut,  ///< as kUnknown; the head did not arrive in time
-  kStale,     ///< as kUnknown; the endpoint had dropped the reused connection
+  kNotSent,    ///< no byte of the request was written
+  kUnknown,    ///< the request was written at least in part; it may have run
+  kTimedOut,   ///< as kUnknown; the head did not arrive in time
+  kStale,      ///< as kUnknown; the endpoint had dropped the reused connection
+  kOverLimit,  ///< as kUnknown; the answer exceeds a limit on its size
 };
 
 /// Name of a failure in logs and metrics.
@@ -23,6 +24,8 @@
       return "timed_out";
     case AttemptFailure::kStale:
       return "stale_connection";
+    case AttemptFailure::kOverLimit:
+      return "over_limit";
   }
   return "unknown";
 }
