End attempts at items whose endpoint sends without end

What callers saw: an item of a batch job whose endpoint sends without completing an event, or repeats one, was never finished. Cause: each read of an item had 4 s of its own, whatever the reads before had brought; nothing bounded the item's output, and an output that does not fit into one transaction of the store can't be committed. Change: an attempt ends after 4 s without a further event. An error answer whose body exceeds 64 KB counts as a failure, too. Events without id and data add nothing to the output. Before: items_without_end_are_completed_elsewhere failed. After: it passes.

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -25,7 +25,7 @@
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
-// The attempt ends when the endpoint sends no bytes for this long.
+// The attempt ends when the endpoint completes no further event for this long.
 constexpr milliseconds kItemEventTimeout{4000};
 constexpr milliseconds kRetryDelay{250};  // after an attempt that did not complete the item
 // A route that is missing for longer has been removed; a single version of the configuration may
@@ -33,7 +33,6 @@
 constexpr milliseconds kRouteGracePeriod{3000};
 // An item whose last event was received, but not the end of its answer, is resumed in vain.
 constexpr int kEmptyAnswersAtEnd = 2;
-constexpr std::size_t kMaxErrorBodyBytes = 64 << 10;
 
 /// How an attempt at an item ended.
 enum class ItemAttemptOutcome {
@@ -42,6 +41,7 @@
   kEmptyAnswer,       ///< as kResume; a successful answer ended before any event
   kRunFailed,         ///< the endpoint reports that the run failed
   kPermanentFailure,  ///< the endpoint reports that the item can never be completed
+  kOverLimit,         ///< the output is too large; the next attempt begins anew
 };
 
 std::string_view NameOf(ItemAttemptOutcome outcome) {
@@ -56,6 +56,8 @@
       return "failed_run";
     case ItemAttemptOutcome::kPermanentFailure:
       return "impossible";
+    case ItemAttemptOutcome::kOverLimit:
+      return "over_limit";
   }
   return "unknown";
 }
@@ -63,6 +65,9 @@
 /// Appends the data of events and skips those received before. @return false when one is missing.
 bool AppendEvents(ItemProgress& progress, std::vector<StreamEvent> events) {
   for (StreamEvent& event : events) {
+    if (!event.has_content) {
+      continue;
+    }
     if (event.id && progress.last_event) {
       if (*event.id <= *progress.last_event) {
         continue;
@@ -88,8 +93,9 @@
                                        gateway::EndpointState& endpoint,
                                        gateway::CancelScope& cancel) {
   net::SteadyTime last_arrival;
+  net::SteadyTime waiting_since = net::Now();
   while (true) {
-    StreamPart part = co_await stream.Read(net::Now() + kItemEventTimeout);
+    StreamPart part = co_await stream.Read(waiting_since + kItemEventTimeout);
     if (items.Progress(item).phase == ItemPhase::kEnded) {
       co_return ItemAttemptOutcome::kResume;
     }
@@ -101,10 +107,21 @@
       }
       last_arrival = arrival;
     }
+    const std::size_t bytes_before = items.Progress(item).output.size();
+    const std::optional<std::int64_t> event_before = items.Progress(item).last_event;
     const bool follows = AppendEvents(items.Progress(item), std::move(part.events));
     if (!follows || cancel.IsCancelled()) {
       co_return ItemAttemptOutcome::kResume;
     }
+    const std::size_t output_bytes = items.Progress(item).output.size();
+    if (output_bytes != bytes_before || items.Progress(item).last_event != event_before) {
+      waiting_since = arrival;
+    }
+    if (output_bytes > gateway::AnswerLimits::kMaxItemOutputBytes) {
+      stream.AbortOverLimit(gateway::AnswerBound::kItemOutput, output_bytes);
+      gateway::EndpointFeedback::RecordFailure(endpoint, net::Now(), false);
+      co_return ItemAttemptOutcome::kOverLimit;
+    }
     if (part.state == StreamState::kComplete) {
       co_return ItemAttemptOutcome::kComplete;
     }
@@ -152,7 +169,15 @@
     co_return co_await ReadItem(AnswerStream(attempt, answer.framing), items, item,
                                 lease.Endpoint(), cancel);
   }
-  BodyPiece rest = co_await attempt.ReadRest(kMaxErrorBodyBytes, net::Now() + kItemEventTimeout);
+  BodyPiece rest = co_await attempt.ReadRest(gateway::AnswerLimits::kMaxErrorBodyBytes,
+                                             net::Now() + kItemEventTimeout);
+  if (rest.state == BodyState::kMore) {
+    attempt.AbortOverLimit(gateway::AnswerBound::kErrorBody, rest.bytes.size());
+    rest.state = BodyState::kOverLimit;
+  }
+  if (rest.state == BodyState::kOverLimit) {
+    gateway::EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
+  }
   if (answer.decoded.other_instance) {
     gateway::EndpointFeedback::RecordReplacement(lease.Endpoint(), net::Now());
   }
@@ -274,7 +299,9 @@
   if (progress.last_event && progress.empty_answers >= kEmptyAnswersAtEnd) {
     outcome = ItemAttemptOutcome::kComplete;
   }
-  this->RecordPace(*job, *attempt, outcome == ItemAttemptOutcome::kComplete);
+  if (outcome != ItemAttemptOutcome::kOverLimit) {
+    this->RecordPace(*job, *attempt, outcome == ItemAttemptOutcome::kComplete);
+  }
   if (outcome == ItemAttemptOutcome::kComplete) {
     job->items.End(item, ItemOutcome::kCompleted);
   } else if (outcome == ItemAttemptOutcome::kPermanentFailure) {
@@ -293,6 +320,10 @@
   } else if (!attempt->cancel.IsCancelled()) {
     progress.not_before = net::Now() + kRetryDelay;
   }
+  if (outcome == ItemAttemptOutcome::kOverLimit) {
+    progress.output.clear();
+    progress.last_event.reset();
+  }
   net::LogLine("item_attempt_ended", outcome == ItemAttemptOutcome::kComplete
                                          ? net::LogImportance::kRoutine
                                          : net::LogImportance::kNotable)
