--- a/src/gateway/attempt_policy.h
+++ b/src/gateway/attempt_policy.h
@@ -24,12 +24,15 @@
   /// Time from which an endpoint that has not begun its answer counts as silent. Another endpoint
   /// is tried then if one can take the request; otherwise the endpoint may still answer.
   /// @param may_retry the request may be sent to another endpoint.
-  [[nodiscard]] static net::SteadyTime AnswerDeadline(const Route& route, net::SteadyTime now,
-                                                      net::SteadyTime deadline, bool may_retry);
+  [[nodiscard]] static net::SteadyTime SilentWithoutAnswerAt(const Route& route,
+                                                             net::SteadyTime now,
+                                                             net::SteadyTime deadline,
+                                                             bool may_retry);
 
   /// Time from which an endpoint counts as silent if the next event of a stream is still missing.
-  [[nodiscard]] static net::SteadyTime NextEventDeadline(const Route& route, net::SteadyTime now,
-                                                         net::SteadyTime deadline, bool may_retry);
+  [[nodiscard]] static net::SteadyTime SilentWithoutEventAt(const Route& route, net::SteadyTime now,
+                                                            net::SteadyTime deadline,
+                                                            bool may_retry);
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/attempt_policy.cc
+++ b/src/gateway/internal/attempt_policy.cc
@@ -28,13 +28,13 @@
   return record.sent < route.max_attempts && (repeatable || !record.maybe_run);
 }
 
-net::SteadyTime AttemptPolicy::AnswerDeadline(const Route& route, net::SteadyTime now,
-                                              net::SteadyTime deadline, bool may_retry) {
+net::SteadyTime AttemptPolicy::SilentWithoutAnswerAt(const Route& route, net::SteadyTime now,
+                                                     net::SteadyTime deadline, bool may_retry) {
   return may_retry ? std::min(deadline, now + SilenceTimeout(route.target_latency)) : deadline;
 }
 
-net::SteadyTime AttemptPolicy::NextEventDeadline(const Route& route, net::SteadyTime now,
-                                                 net::SteadyTime deadline, bool may_retry) {
+net::SteadyTime AttemptPolicy::SilentWithoutEventAt(const Route& route, net::SteadyTime now,
+                                                    net::SteadyTime deadline, bool may_retry) {
   const milliseconds gap = route.event_gap.value_or(kDefaultObjective);
   return may_retry ? std::min(deadline, now + SilenceTimeout(gap)) : deadline;
 }
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -39,8 +39,8 @@
   const net::SteadyTime start = net::Now();
   const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
   if (may_retry) {
-    this->silence.Start(
-        AttemptPolicy::AnswerDeadline(*this->routed.route, start, this->routed.deadline, true));
+    this->silence.Start(AttemptPolicy::SilentWithoutAnswerAt(*this->routed.route, start,
+                                                             this->routed.deadline, true));
   }
   BodyPiece body = co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->routed.deadline);
   this->silence.Stop();
@@ -179,10 +179,10 @@
     const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
     if (may_retry && has_advanced) {
       this->silence.Start(this->stream_begun
-                              ? AttemptPolicy::NextEventDeadline(*this->routed.route, now,
-                                                                 this->routed.deadline, true)
-                              : AttemptPolicy::AnswerDeadline(*this->routed.route, now,
-                                                              this->routed.deadline, true));
+                              ? AttemptPolicy::SilentWithoutEventAt(*this->routed.route, now,
+                                                                    this->routed.deadline, true)
+                              : AttemptPolicy::SilentWithoutAnswerAt(*this->routed.route, now,
+                                                                     this->routed.deadline, true));
     }
     StreamPart part = co_await stream.Read(this->routed.deadline);
     has_advanced = part.has_advanced;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -238,7 +238,8 @@
   const AttemptLimits limits{this->routed.deadline,
                              this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime};
   if (may_retry) {
-    this->silence.Start(AttemptPolicy::AnswerDeadline(route, now, this->routed.deadline, true));
+    this->silence.Start(
+        AttemptPolicy::SilentWithoutAnswerAt(route, now, this->routed.deadline, true));
   }
   EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
   if (this->silence.Stop()) {
--- a/src/gateway/tests/attempt_policy_test.cc
+++ b/src/gateway/tests/attempt_policy_test.cc
@@ -24,9 +24,10 @@
   Route route;
   route.target_latency = milliseconds(300);
   const net::SteadyTime deadline = kStart + milliseconds(5000);
-  CHECK(AttemptPolicy::AnswerDeadline(route, kStart, deadline, false) == deadline);
-  CHECK(AttemptPolicy::AnswerDeadline(route, kStart, deadline, true) < kStart + milliseconds(2000));
-  CHECK(AttemptPolicy::AnswerDeadline(route, kStart, kStart + milliseconds(50), true) ==
+  CHECK(AttemptPolicy::SilentWithoutAnswerAt(route, kStart, deadline, false) == deadline);
+  CHECK(AttemptPolicy::SilentWithoutAnswerAt(route, kStart, deadline, true) <
+        kStart + milliseconds(2000));
+  CHECK(AttemptPolicy::SilentWithoutAnswerAt(route, kStart, kStart + milliseconds(50), true) ==
         kStart + milliseconds(50));
 }
 
