Log how far an answer was, whether its endpoint ended, and the shared parts of the prompt

attempt_failed and item_attempt_ended now have stage, endpoint_ended and parts. What is sent where is unchanged. The failure paths of OnlineRun and the run of an item moved into files of their own.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -15,15 +15,15 @@
 
 constexpr milliseconds kWriteGrace{1000};  // a finished answer may be written after the deadline
 
-/// Cause of a failed attempt whose body ended in `state`.
-std::string_view CauseOf(BodyState state) {
+/// Cause of a failed attempt whose body ended in `state`. @param broken cause of a lost connection.
+std::string_view CauseOf(BodyState state, std::string_view broken) {
   switch (state) {
     case BodyState::kOverLimit:
       return NameOf(AttemptFailure::kOverLimit);
     case BodyState::kTimedOut:
       return "deadline";
     default:
-      return "body_cut";
+      return broken;
   }
 }
 
@@ -48,7 +48,7 @@
     co_return Step::kCancelled;
   }
   if (body.state != BodyState::kEnd && body.state != BodyState::kMore) {
-    co_return co_await this->AfterFailure(lease, CauseOf(body.state));
+    co_return co_await this->AfterFailure(lease, CauseOf(body.state, kBodyCutCause));
   }
   const int code = static_cast<int>(answer.head.result_int());
   if (code / 100 == 5 && this->routed.IsRepeatable() && this->MayRetry() && !this->stream_begun) {
@@ -113,7 +113,7 @@
     if (piece.state != BodyState::kTimedOut || !caller_was_slow) {
       EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
     }
-    co_await this->Fail(status::bad_gateway, CauseOf(piece.state));
+    co_await this->Fail(status::bad_gateway, CauseOf(piece.state, kBodyCutCause));
     co_return Step::kDone;
   }
   co_await this->session.EndChunks(this->WriteLimit());
@@ -196,6 +196,7 @@
     }
     if (!part.events.empty()) {
       this->silence_recorded = false;
+      this->stage = AttemptStage::kAnswering;
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
         EndpointFeedback::RecordUnitLatency(
@@ -219,7 +220,7 @@
       const bool over_limit = part.state == StreamState::kOverLimit;
       const std::string_view cause = over_limit ? NameOf(AttemptFailure::kOverLimit)
                                      : silent   ? kSilentStreamCause
-                                                : std::string_view("stream_cut");
+                                                : kStreamCutCause;
       co_return co_await this->AfterFailure(lease, cause);
     }
   }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -19,8 +19,6 @@
 // Requests that must not run twice reuse only connections that have been idle for less: endpoints
 // do not close these.
 constexpr milliseconds kSafeIdleTime{200};
-// Until a request that has begun is sent again after every endpoint refused or failed.
-constexpr milliseconds kRepeatPause{100};
 
 }  // namespace
 
@@ -223,6 +221,7 @@
   const Route& route = *this->routed.route;
   this->framing.reset();
   this->unfinished_bytes = 0;
+  this->stage = AttemptStage::kUnanswered;
   this->last_endpoint = lease.Endpoint().entry.id;
   this->tried.push_back(this->last_endpoint);
   const bool may_retry = this->routed.IsRepeatable() && this->record.sent + 1 < route.max_attempts;
@@ -282,77 +281,6 @@
   co_return outcome;
 }
 
-awaitable<OnlineRun::Step> OnlineRun::AfterFailure(const EndpointLease& lease,
-                                                   std::string_view cause) {
-  const bool unreachable = cause == NameOf(AttemptFailure::kNotSent) ||
-                           cause == NameOf(AttemptFailure::kTimedOut) ||
-                           cause == kSilentStreamCause;
-  if (cause != NameOf(AttemptFailure::kStale) && !this->silence_recorded) {
-    EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), unreachable);
-  }
-  this->gateway.metrics
-      .GetCounter("gateway_attempt_failures_total", {{"cause", std::string(cause)}})
-      .Add();
-  net::LogLine("attempt_failed")
-      .With("request", this->routed.request.id)
-      .With("endpoint", this->last_endpoint)
-      .With("cause", cause)
-      .With("sent", this->record.sent)
-      .With("last_event", this->last_event.value_or(-1))
-      .With("framing", this->framing ? NameOf(*this->framing) : std::string_view("none"))
-      .With("unfinished_bytes", this->unfinished_bytes)
-      .With("suspect_failures", lease.Endpoint().failures_in_row);
-  if (net::Now() >= this->routed.deadline) {
-    co_await this->EndAtDeadline();
-    co_return Step::kDone;
-  }
-  if (this->MayRetry()) {
-    co_return Step::kRetry;
-  }
-  co_await this->Fail(status::bad_gateway, cause);
-  co_return Step::kDone;
-}
-
-awaitable<OnlineRun::Step> OnlineRun::AfterNotExecuted(const EndpointLease& lease,
-                                                       AnswerHead answer,
-                                                       EndpointAttempt& attempt) {
-  const BodyState rest = co_await attempt.Discard(this->routed.deadline);
-  if (rest == BodyState::kOverLimit) {
-    EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
-  }
-  net::LogLine("attempt_not_executed")
-      .With("request", this->routed.request.id)
-      .With("endpoint", this->last_endpoint)
-      .With("status", answer.head.result_int())
-      .With("own", lease.Endpoint().OwnTotal())
-      .With("peers", lease.Endpoint().peer_online + lease.Endpoint().peer_batch);
-  this->gateway.metrics
-      .GetCounter("gateway_not_executed_total",
-                  {{"status", std::to_string(answer.head.result_int())}})
-      .Add();
-  if (answer.decoded.other_instance) {
-    EndpointFeedback::RecordReplacement(lease.Endpoint(), net::Now());
-    co_return Step::kRetry;
-  }
-  EndpointFeedback::RecordFull(lease.Endpoint(), net::Now());
-  const std::optional<ReportedLoad>& load = answer.decoded.load;
-  const bool had_free_slot = load && load->running + load->waiting < lease.Endpoint().entry.slots;
-  if (had_free_slot) {
-    EndpointFeedback::RecordErrorAnswer(lease.Endpoint(), net::Now());
-  }
-  if (this->HasBegun() && this->routed.IsRepeatable()) {
-    this->tried = {this->last_endpoint};
-    co_await this->Pause(kRepeatPause);
-    co_return Step::kRetry;
-  }
-  ++this->record.sent;
-  if (this->MayRetry() && net::Now() < this->routed.deadline) {
-    co_return Step::kRetry;
-  }
-  co_await this->Refuse("endpoint_full");
-  co_return Step::kDone;
-}
-
 awaitable<OnlineRun::Step> OnlineRun::HandleAnswer(EndpointAttempt& attempt,
                                                    const EndpointLease& lease, AnswerHead answer) {
   if (answer.decoded.load) {
@@ -363,6 +291,7 @@
   if (answer.decoded.other_instance || (answer.decoded.not_executed && is_refusal)) {
     co_return co_await this->AfterNotExecuted(lease, std::move(answer), attempt);
   }
+  this->stage = AttemptStage::kBegun;
   ++this->record.sent;
   this->record.maybe_run = !answer.decoded.not_executed || this->record.maybe_run;
   EndpointFeedback::RecordAnswer(lease.Endpoint(), net::Now());
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -10,6 +10,7 @@
 #include "gateway/internal/endpoint_attempt.h"
 #include "gateway/internal/event_splitter.h"
 #include "gateway/internal/silence_watch.h"
+#include "gateway/types/attempt_stage.h"
 #include "gateway/types/routed_request.h"
 
 namespace lentilhead::gateway::internal {
@@ -33,6 +34,10 @@
   /// failure can still lead to a retry. Most answers are far smaller.
   static constexpr std::size_t kMaxBufferedAnswerBytes = 256 << 10;
   static constexpr std::string_view kSilentStreamCause = "stream_silent";
+  static constexpr std::string_view kStreamCutCause = "stream_cut";
+  static constexpr std::string_view kBodyCutCause = "body_cut";
+  /// Until a request that has begun is sent again after every endpoint refused or failed.
+  static constexpr std::chrono::milliseconds kRepeatPause{100};
 
   net::asio::awaitable<AdmissionOutcome> AcquireSlot();
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
@@ -52,6 +57,10 @@
                                            const AnswerHead& answer);
   net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
   net::asio::awaitable<Step> EndStream(const AnswerHead& answer);
+  /// Whether the connection to an endpoint was lost before the whole answer was received.
+  [[nodiscard]] static bool IsConnectionLoss(std::string_view cause);
+  /// Tells whether the endpoint has ended before it sent the first event or a whole answer.
+  net::asio::awaitable<bool> CheckEndpoint(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
@@ -80,10 +89,11 @@
   AttemptRecord record;
   std::vector<std::string> tried;
   std::string last_endpoint;
-  EndpointAttempt* attempt = nullptr;  ///< in progress
-  EndpointState* endpoint = nullptr;   ///< of that attempt
-  bool silence_recorded = false;       ///< for that attempt
-  EndpointLease next;                  ///< slot at the endpoint that takes over from a silent one
+  EndpointAttempt* attempt = nullptr;              ///< in progress
+  EndpointState* endpoint = nullptr;               ///< of that attempt
+  bool silence_recorded = false;                   ///< for that attempt
+  AttemptStage stage = AttemptStage::kUnanswered;  ///< of the last attempt
+  EndpointLease next;  ///< slot at the endpoint that takes over from a silent one
   SilenceWatch silence;
   bool stream_begun = false;
   std::optional<AnswerFraming> framing;  ///< of the last streamed answer
--- a/src/gateway/types/inference_request.h
+++ b/src/gateway/types/inference_request.h
@@ -3,7 +3,9 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <vector>
 
+#include "gateway/types/prompt_part.h"
 #include "net/http_types.h"
 
 namespace lentilhead::gateway {
@@ -16,6 +18,8 @@
   std::optional<std::chrono::milliseconds> deadline;  ///< timeout that the caller asked for
   /// Id of the last event already received, after which the stream resumes.
   std::optional<std::int64_t> last_event_id;
+  /// Keys of the parts of the prompt that other requests may share, in their order.
+  std::vector<PartKey> shared_parts;
   net::Request message;  ///< method, target, headers and body
 };
 
--- /dev/null
+++ b/src/jobs/internal/item_run.cc
@@ -0,0 +1,195 @@
+#include "jobs/internal/item_run.h"
+
+#include "gateway/internal/endpoint_check.h"
+#include "platform/job_codec.h"
+#include "platform/request_codec.h"
+
+namespace lentilhead::jobs::internal {
+
+namespace {
+
+using gateway::AttemptStage;
+using gateway::EndpointFeedback;
+using gateway::internal::AnswerHead;
+using gateway::internal::AnswerStream;
+using gateway::internal::AttemptLimits;
+using gateway::internal::BodyPiece;
+using gateway::internal::BodyState;
+using gateway::internal::EndpointAttempt;
+using gateway::internal::StreamEvent;
+using gateway::internal::StreamPart;
+using gateway::internal::StreamState;
+using net::asio::awaitable;
+using std::chrono::milliseconds;
+
+// The attempt ends when the endpoint completes no further event for this long.
+constexpr milliseconds kItemEventTimeout{4000};
+
+/// Appends the data of events and skips those received before. @return false when one is missing.
+bool AppendEvents(ItemProgress& progress, std::vector<StreamEvent> events) {
+  for (StreamEvent& event : events) {
+    if (!event.has_content) {
+      continue;
+    }
+    if (event.id && progress.last_event) {
+      if (*event.id <= *progress.last_event) {
+        continue;
+      }
+      if (*event.id != *progress.last_event + 1) {
+        return false;
+      }
+    }
+    const bool first = !progress.last_event && progress.output.empty();
+    if (!first) {
+      progress.output.push_back('\n');
+    }
+    progress.output += gateway::internal::DataOf(event.bytes);
+    if (event.id) {
+      progress.last_event = event.id;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string_view NameOf(ItemRunOutcome outcome) {
+  switch (outcome) {
+    case ItemRunOutcome::kComplete:
+      return "whole";
+    case ItemRunOutcome::kResume:
+      return "goes_on";
+    case ItemRunOutcome::kEmptyAnswer:
+      return "empty_answer";
+    case ItemRunOutcome::kRunFailed:
+      return "failed_run";
+    case ItemRunOutcome::kPermanentFailure:
+      return "impossible";
+    case ItemRunOutcome::kOverLimit:
+      return "over_limit";
+  }
+  return "unknown";
+}
+
+void ItemRun::RecordFailure(bool unreachable) {
+  EndpointFeedback::RecordFailure(this->lease.Endpoint(), net::Now(), unreachable);
+}
+
+awaitable<ItemRunReport> ItemRun::Run(const std::string& host) {
+  ItemRunReport report;
+  report.outcome = co_await this->Attempt(host);
+  report.stage = this->stage;
+  const bool may_have_ended = this->is_connection_lost && this->stage != AttemptStage::kAnswering;
+  if (may_have_ended && !this->cancel.IsCancelled()) {
+    report.endpoint_ended = co_await gateway::internal::EndpointCheck::HasEnded(
+        this->gateway.executor, this->lease.Endpoint().entry.address);
+  }
+  co_return report;
+}
+
+awaitable<ItemRunOutcome> ItemRun::ReadEvents(AnswerStream stream) {
+  net::SteadyTime last_arrival;
+  net::SteadyTime waiting_since = net::Now();
+  while (true) {
+    StreamPart part = co_await stream.Read(waiting_since + kItemEventTimeout);
+    ItemProgress& progress = this->items.Progress(this->item);
+    if (progress.phase == ItemPhase::kEnded) {
+      co_return ItemRunOutcome::kResume;
+    }
+    const net::SteadyTime arrival = net::Now();
+    if (!part.events.empty()) {
+      this->stage = AttemptStage::kAnswering;
+      if (last_arrival != net::SteadyTime{}) {
+        EndpointFeedback::RecordUnitLatency(
+            this->lease.Endpoint(),
+            (arrival - last_arrival) / static_cast<int>(part.events.size()));
+      }
+      last_arrival = arrival;
+    }
+    const std::size_t bytes_before = progress.output.size();
+    const std::optional<std::int64_t> event_before = progress.last_event;
+    const bool follows = AppendEvents(progress, std::move(part.events));
+    if (!follows || this->cancel.IsCancelled()) {
+      co_return ItemRunOutcome::kResume;
+    }
+    const std::size_t output_bytes = progress.output.size();
+    if (output_bytes != bytes_before || progress.last_event != event_before) {
+      waiting_since = arrival;
+    }
+    if (output_bytes > gateway::AnswerLimits::kMaxItemOutputBytes) {
+      stream.AbortOverLimit(gateway::AnswerBound::kItemOutput, output_bytes);
+      this->RecordFailure(false);
+      co_return ItemRunOutcome::kOverLimit;
+    }
+    if (part.state == StreamState::kComplete) {
+      co_return ItemRunOutcome::kComplete;
+    }
+    if (part.state != StreamState::kMore) {
+      this->RecordFailure(part.state == StreamState::kTimedOut);
+      this->is_connection_lost = part.state == StreamState::kBroken;
+      co_return part.state == StreamState::kEmpty ? ItemRunOutcome::kEmptyAnswer
+                                                  : ItemRunOutcome::kResume;
+    }
+  }
+}
+
+awaitable<ItemRunOutcome> ItemRun::ReadFailure(EndpointAttempt& attempt, const AnswerHead& answer) {
+  BodyPiece rest = co_await attempt.ReadRest(gateway::AnswerLimits::kMaxErrorBodyBytes,
+                                             net::Now() + kItemEventTimeout);
+  if (rest.state == BodyState::kMore) {
+    attempt.AbortOverLimit(gateway::AnswerBound::kErrorBody, rest.bytes.size());
+    rest.state = BodyState::kOverLimit;
+  }
+  if (rest.state == BodyState::kOverLimit) {
+    this->RecordFailure(false);
+  }
+  if (answer.decoded.other_instance) {
+    EndpointFeedback::RecordReplacement(this->lease.Endpoint(), net::Now());
+  }
+  if (answer.decoded.not_executed || answer.decoded.other_instance ||
+      rest.state != BodyState::kEnd) {
+    co_return ItemRunOutcome::kResume;
+  }
+  const unsigned code = answer.head.result_int();
+  if (code == 422) {
+    co_return ItemRunOutcome::kPermanentFailure;
+  }
+  co_return code == 500 ? ItemRunOutcome::kRunFailed : ItemRunOutcome::kResume;
+}
+
+awaitable<ItemRunOutcome> ItemRun::Attempt(const std::string& host) {
+  gateway::EndpointState& endpoint = this->lease.Endpoint();
+  const gateway::InferenceRequest request =
+      platform::EncodeItemRequest(this->items.Spec(this->item), host);
+  gateway::AttemptOptions options;
+  options.endpoint_id = endpoint.entry.id;
+  options.last_event_id = this->items.Progress(this->item).last_event;
+  net::Request message = platform::EncodeAttempt(request, options);
+  EndpointFeedback::RecordAttempt(endpoint, net::Now());
+  EndpointAttempt attempt(this->gateway, this->lease.Shared(), this->cancel);
+  AttemptLimits limits{net::Now() + kItemEventTimeout, milliseconds::max()};
+  EndpointAttempt::StartOutcome outcome =
+      co_await attempt.Start(std::move(message), request.id, limits);
+  if (this->cancel.IsCancelled()) {
+    co_return ItemRunOutcome::kResume;
+  }
+  if (const auto* failure = std::get_if<gateway::AttemptFailure>(&outcome)) {
+    if (*failure != gateway::AttemptFailure::kStale) {
+      this->RecordFailure(*failure != gateway::AttemptFailure::kUnknown);
+    }
+    this->is_connection_lost = *failure == gateway::AttemptFailure::kUnknown;
+    co_return ItemRunOutcome::kResume;
+  }
+  const AnswerHead answer = std::move(std::get<AnswerHead>(outcome));
+  this->stage = AttemptStage::kBegun;
+  if (answer.decoded.load) {
+    EndpointFeedback::RecordLoad(endpoint, *answer.decoded.load, net::Now());
+  }
+  if (answer.head.result_int() / 100 == 2 && answer.decoded.is_signed) {
+    EndpointFeedback::RecordAnswer(endpoint, net::Now());
+    co_return co_await this->ReadEvents(AnswerStream(attempt, answer.framing));
+  }
+  co_return co_await this->ReadFailure(attempt, answer);
+}
+
+}  // namespace lentilhead::jobs::internal
--- /dev/null
+++ b/src/jobs/internal/item_run.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "gateway/gateway.h"
+#include "gateway/internal/answer_stream.h"
+#include "gateway/types/attempt_stage.h"
+#include "jobs/item_tracker.h"
+
+namespace lentilhead::jobs::internal {
+
+/// How an attempt at an item ended.
+enum class ItemRunOutcome {
+  kComplete,          ///< the output is whole
+  kResume,            ///< the next attempt resumes after the last event received
+  kEmptyAnswer,       ///< as kResume; a successful answer ended before any event
+  kRunFailed,         ///< the endpoint reports that the run failed
+  kPermanentFailure,  ///< the endpoint reports that the item can never be completed
+  kOverLimit,         ///< the output is too large; the next attempt begins anew
+};
+
+/// Name of an outcome in logs.
+[[nodiscard]] std::string_view NameOf(ItemRunOutcome outcome);
+
+/// What an attempt at an item ended with.
+struct ItemRunReport {
+  ItemRunOutcome outcome = ItemRunOutcome::kResume;
+  gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
+  bool endpoint_ended = false;  ///< the endpoint ended before it sent an event of this attempt
+};
+
+/// Sends an item to an endpoint once and reads the answer into the item's progress.
+class ItemRun {
+ public:
+  /// @param lease slot at the endpoint; must live as long as the object.
+  /// @param cancel ends the attempt when cancelled.
+  ItemRun(gateway::Gateway& gateway, ItemTracker& items, std::size_t item,
+          const gateway::EndpointLease& lease, gateway::CancelScope& cancel)
+      : gateway(gateway), items(items), item(item), lease(lease), cancel(cancel) {}
+
+  /// @param host host of the job's route, as the caller sent it.
+  net::asio::awaitable<ItemRunReport> Run(const std::string& host);
+
+ private:
+  net::asio::awaitable<ItemRunOutcome> Attempt(const std::string& host);
+  net::asio::awaitable<ItemRunOutcome> ReadEvents(gateway::internal::AnswerStream stream);
+  net::asio::awaitable<ItemRunOutcome> ReadFailure(gateway::internal::EndpointAttempt& attempt,
+                                                   const gateway::internal::AnswerHead& answer);
+  void RecordFailure(bool unreachable);
+
+  gateway::Gateway& gateway;
+  ItemTracker& items;
+  std::size_t item;
+  const gateway::EndpointLease& lease;
+  gateway::CancelScope& cancel;
+  gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
+  bool is_connection_lost = false;
+};
+
+}  // namespace lentilhead::jobs::internal
--- a/src/jobs/types/job_spec.h
+++ b/src/jobs/types/job_spec.h
@@ -5,6 +5,8 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/types/prompt_part.h"
+
 namespace lentilhead::jobs {
 
 /// One request of a batch job.
@@ -14,6 +16,7 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   std::int64_t tokens = 0;  ///< tokens of the prompt plus the most that the item may generate
+  std::vector<gateway::PartKey> shared_parts;  ///< as of an InferenceRequest
 };
 
 /// The requests of a batch job, in the order of the submission.
