Let a node that starts wait for what its peers hold back

A node that started again sent the first request with a held part on: it was ready before the first message of a peer arrived (up to 300 ms later).

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -146,6 +146,7 @@
   this->Spawn("follow_claims", this->claim_follower.Run());
   this->Spawn("announce",
               this->presence.Announce([this] { return this->job_service.OwnedCount() > 0; }));
+  this->Spawn("await_evidence", this->AwaitEvidence());
   this->Spawn("send_to_peers", this->peers.Send());
   this->Spawn("receive_from_peers", this->peers.Receive());
   this->Spawn("relay_view", this->view_relay.Run([this] { return this->IsStoreSilent(); }));
@@ -180,9 +181,7 @@
   return this->has_failed ? 1 : 0;
 }
 
-bool NodeProgram::IsReady() const {
-  return this->gateway.HasClusterState() && !this->gateway.stopping;
-}
+bool NodeProgram::IsReady() const { return this->gateway.CanServe() && !this->gateway.stopping; }
 
 awaitable<net::Response> NodeProgram::AnswerReadiness(net::Request request) {
   const std::string path(request.target().substr(0, request.target().find('?')));
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -55,6 +55,8 @@
   void UpdateGauges();
   /// Lets the nodes exchange the evidence on parts of prompts and take turns to probe held ones.
   void ConnectQuarantine();
+  /// Waits a moment for the evidence of the peers once there is a list of endpoints.
+  net::asio::awaitable<void> AwaitEvidence();
   /// Sets how often the claims are read: less often in a fleet of several groups, as the calls of
   /// all nodes add up at the store.
   void SetClaimPause(bool has_several_groups);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -21,6 +21,9 @@
     return this->routes.Config() != nullptr && this->endpoints_loaded;
   }
 
+  /// Whether requests can be served.
+  [[nodiscard]] bool CanServe() const { return this->HasClusterState() && this->evidence_loaded; }
+
   net::asio::any_io_executor executor;
   RouteTable routes;
   EndpointRegistry registry;
@@ -29,9 +32,11 @@
   internal::ConnectionPool pool;
   framework::Metrics metrics;
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
-  bool stopping = false;          ///< the node is shutting down
-  ShutdownTimes shutdown;         ///< set when the node is shutting down
-  RouteDurations durations;       ///< of online requests
+  /// The peers have sent what they know of held parts, or have been waited for.
+  bool evidence_loaded = true;
+  bool stopping = false;     ///< the node is shutting down
+  ShutdownTimes shutdown;    ///< set when the node is shutting down
+  RouteDurations durations;  ///< of online requests
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -205,7 +205,7 @@
   RoutedRequest routed;
   routed.arrival = net::Now();
   routed.config = this->gateway.routes.Config();
-  if (!routed.config || !this->gateway.endpoints_loaded) {
+  if (!this->gateway.CanServe()) {
     co_await this->RefuseUnrouted(session, request, "not_ready", kNotReadyRetryAfter);
     co_return;
   }
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -60,8 +60,9 @@
 }
 
 void PeerExchange::AddCandidate(const Address& address) {
-  if (address != this->own_address) {
-    this->candidates.insert(address);
+  if (address != this->own_address && this->candidates.insert(address).second) {
+    this->has_new_candidate = true;
+    this->NoteChange();
   }
 }
 
@@ -146,9 +147,10 @@
 
 void PeerExchange::SendToAll() {
   const net::SteadyTime now = net::Now();
-  const bool probe = now - this->last_probe >= kProbePeriod;
+  const bool probe = this->has_new_candidate || now - this->last_probe >= kProbePeriod;
   if (probe) {
     this->last_probe = now;
+    this->has_new_candidate = false;
   }
   std::vector<gateway::PartEvidence> evidence = this->DueEvidence(now);
   const std::string bytes = this->NextMessage(evidence);
@@ -235,6 +237,7 @@
   this->gateway.registry.Outliers().SetPeerReport(message.name, message.failures);
   this->RecordLeaving(message);
   this->gateway.quarantine.Merge(message.parts, net::Now());
+  this->gateway.evidence_loaded = this->gateway.evidence_loaded || !message.parts.empty();
   message.parts.clear();
   this->peers[sender] = {std::move(message), net::Now()};
   this->gateway.admission.Dispatch();
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -121,6 +121,7 @@
   net::SteadyTime last_probe;
   net::SteadyTime evidence_sent;
   std::uint64_t evidence_version = 0;  ///< sent last
+  bool has_new_candidate = false;      ///< since all were messaged last
   bool has_new_peer = false;           ///< since the evidence was sent last
   std::set<Address> candidates;
   std::set<Address> group;  ///< empty while the group is not known: then all candidates
