Hold back an item that ends its endpoint each time it is sent

An item is now recognized by its own key, too, and held back like a part after it has ended three endpoints in a row without an answer; probes follow at growing distances.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -72,7 +72,7 @@
   }
   EndpointFeedback::RecordUnitLatency(lease.Endpoint(), net::Now() - this->routed.arrival);
   if (code / 100 == 2) {
-    this->gateway.quarantine.RecordAnswer(this->routed.request.shared_parts, net::Now());
+    this->gateway.quarantine.RecordAnswer(this->routed.request.keys, net::Now());
   }
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
   const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
@@ -200,7 +200,7 @@
     if (!part.events.empty()) {
       this->silence_recorded = false;
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
-        this->gateway.quarantine.RecordAnswer(this->routed.request.shared_parts, net::Now());
+        this->gateway.quarantine.RecordAnswer(this->routed.request.keys, net::Now());
       }
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -17,15 +17,14 @@
 
 awaitable<bool> OnlineRun::RecordIfEnded(const EndpointLease& lease, std::string_view cause) {
   if (!IsConnectionLoss(cause) || this->stage == AttemptStage::kAnswering ||
-      this->routed.request.shared_parts.empty()) {
+      this->routed.request.keys.shared.empty()) {
     co_return false;
   }
   const bool ended =
       co_await EndpointCheck::HasEnded(this->gateway.executor, lease.Endpoint().entry.address);
   if (ended) {
     const InferenceRequest& request = this->routed.request;
-    const RequestEnd end{request.id, request.shared_parts, lease.Endpoint().incarnation,
-                         this->stage};
+    const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage};
     this->gateway.quarantine.RecordEnd(end, net::Now());
     this->retry_pause = this->gateway.quarantine.PauseBeforeRetry(end);
   }
@@ -33,8 +32,7 @@
 }
 
 awaitable<bool> OnlineRun::RefuseIfHeld() {
-  const PartVerdict verdict =
-      this->gateway.quarantine.Check(this->routed.request.shared_parts, net::Now());
+  const PartVerdict verdict = this->gateway.quarantine.Check(this->routed.request.keys, net::Now());
   const auto* held = std::get_if<PartHeld>(&verdict);
   if (held == nullptr) {
     co_return false;
@@ -45,8 +43,7 @@
 }
 
 void OnlineRun::RecordIfProbe(net::SteadyTime now) {
-  const PartVerdict verdict =
-      this->gateway.quarantine.Check(this->routed.request.shared_parts, now);
+  const PartVerdict verdict = this->gateway.quarantine.Check(this->routed.request.keys, now);
   if (const auto* probe = std::get_if<PartProbe>(&verdict)) {
     this->gateway.quarantine.RecordProbe(probe->part, now);
   }
@@ -75,7 +72,7 @@
       .With("suspect_failures", lease.Endpoint().failures_in_row)
       .With("stage", NameOf(this->stage))
       .With("endpoint_ended", ended)
-      .With("parts", FormatPartKeys(this->routed.request.shared_parts));
+      .With("parts", FormatPartKeys(this->routed.request.keys.shared));
   if (net::Now() >= this->routed.deadline) {
     co_await this->EndAtDeadline();
     co_return Step::kDone;
--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -43,6 +43,15 @@
   return XXH32(request_id.data(), request_id.size(), 0);
 }
 
+/// The keys in the order of their depth; an item's own key is the deepest.
+std::vector<PartKey> AllOf(const PromptKeys& keys) {
+  std::vector<PartKey> all = keys.shared;
+  if (keys.own) {
+    all.push_back(*keys.own);
+  }
+  return all;
+}
+
 milliseconds AgeOf(net::SteadyTime time, net::SteadyTime now) {
   return std::max(milliseconds(0), net::ToMilliseconds(now - time));
 }
@@ -143,9 +152,11 @@
   this->UpdateHeld(now);
 }
 
-void PartQuarantine::RecordAnswer(const std::vector<PartKey>& parts, net::SteadyTime now) {
-  for (const PartKey part : parts) {
+void PartQuarantine::RecordAnswer(const PromptKeys& keys, net::SteadyTime now) {
+  for (const PartKey part : keys.shared) {
     this->answered.Record(part, now);
+  }
+  for (const PartKey part : AllOf(keys)) {
     this->NoteAnswer(part, now, now);
   }
 }
@@ -153,7 +164,7 @@
 void PartQuarantine::RecordEnd(const RequestEnd& end, net::SteadyTime now) {
   const int weight = end.stage == AttemptStage::kBegun ? kBegunWeight : kUnansweredWeight;
   int depth = 0;
-  for (const PartKey part : end.shared_parts) {
+  for (const PartKey part : AllOf(end.keys)) {
     Suspect& suspect = this->SuspectOf(part, depth++);
     if (AddEnd(suspect, {end.endpoint, KeyOf(end.request_id), weight, now})) {
       this->NoteChange();
@@ -169,7 +180,7 @@
     return found != this->suspects.end() && found->second.last_answer == net::SteadyTime{};
   };
   const bool waits =
-      end.stage == AttemptStage::kBegun && std::ranges::any_of(end.shared_parts, is_suspected);
+      end.stage == AttemptStage::kBegun && std::ranges::any_of(AllOf(end.keys), is_suspected);
   return waits ? kSuspectPause : milliseconds(0);
 }
 
@@ -178,12 +189,12 @@
          this->is_own_turn(part, static_cast<std::uint64_t>(since_due / kProbeTurn));
 }
 
-PartVerdict PartQuarantine::Check(const std::vector<PartKey>& parts, net::SteadyTime now) const {
+PartVerdict PartQuarantine::Check(const PromptKeys& keys, net::SteadyTime now) const {
   PartVerdict verdict = PartsAllowed{};
   if (this->held.empty()) {
     return verdict;
   }
-  for (const PartKey part : parts) {
+  for (const PartKey part : AllOf(keys)) {
     if (!this->held.contains(part)) {
       continue;
     }
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -15,8 +15,8 @@
 namespace lentilhead::gateway {
 
 /// Finds the parts of prompts that end the endpoints which begin to answer them, and holds requests
-/// with these parts back. Answers a "query of death": requests that share such a part, come at all
-/// nodes and would end one endpoint after the other.
+/// with these parts back; likewise single items of batch jobs. Answers a "query of death": requests
+/// that share such a part, come at all nodes and would end one endpoint after the other.
 ///
 /// A part is suspected when endpoints ended with requests of it that had no event yet. It is held
 /// when such ends of several requests, at different times, follow each other without an answer in
@@ -42,8 +42,8 @@
   /// Sets the function that is called after each change of the evidence.
   void OnChange(std::function<void()> callback) { this->on_change = std::move(callback); }
 
-  /// Records that an endpoint answered a request with these parts: its first event or all of it.
-  void RecordAnswer(const std::vector<PartKey>& parts, net::SteadyTime now);
+  /// Records that an endpoint answered a request with these keys: its first event or all of it.
+  void RecordAnswer(const PromptKeys& keys, net::SteadyTime now);
 
   /// Records a request that an endpoint held when it ended.
   void RecordEnd(const RequestEnd& end, net::SteadyTime now);
@@ -53,8 +53,8 @@
   /// @return 0 if every part was answered before, or if the answer had not begun.
   [[nodiscard]] std::chrono::milliseconds PauseBeforeRetry(const RequestEnd& end) const;
 
-  /// Decides whether a request with these parts may be sent.
-  [[nodiscard]] PartVerdict Check(const std::vector<PartKey>& parts, net::SteadyTime now) const;
+  /// Decides whether a request with these keys may be sent.
+  [[nodiscard]] PartVerdict Check(const PromptKeys& keys, net::SteadyTime now) const;
 
   /// Records that the probe of a part is being sent.
   void RecordProbe(PartKey part, net::SteadyTime now);
--- a/src/gateway/tests/part_quarantine_test.cc
+++ b/src/gateway/tests/part_quarantine_test.cc
@@ -26,15 +26,16 @@
   /// Records that a new endpoint ended under the last request.
   void EndAgain(const std::vector<PartKey>& parts, AttemptStage stage = AttemptStage::kBegun) {
     this->quarantine.RecordEnd(
-        {"request" + std::to_string(this->requests), parts, ++this->endpoints, stage}, this->now);
+        {"request" + std::to_string(this->requests), {parts, {}}, ++this->endpoints, stage},
+        this->now);
     this->now += milliseconds(100);
   }
 
   [[nodiscard]] bool IsHeld(const std::vector<PartKey>& parts) const {
-    return std::holds_alternative<PartHeld>(this->quarantine.Check(parts, this->now));
+    return std::holds_alternative<PartHeld>(this->quarantine.Check({parts, {}}, this->now));
   }
   [[nodiscard]] bool MayProbe(const std::vector<PartKey>& parts) const {
-    return std::holds_alternative<PartProbe>(this->quarantine.Check(parts, this->now));
+    return std::holds_alternative<PartProbe>(this->quarantine.Check({parts, {}}, this->now));
   }
 
   PartQuarantine quarantine;
@@ -45,7 +46,7 @@
 
 TEST_CASE_FIXTURE(Fixture,
                   "a part is held after two requests ended the endpoints that began them") {
-  this->quarantine.RecordAnswer({kFirst}, this->now);
+  this->quarantine.RecordAnswer({{kFirst}, {}}, this->now);
   this->End({kFirst, kBad});
   CHECK_FALSE(this->IsHeld({kFirst, kBad}));
   this->End({kFirst, kBad});
@@ -62,6 +63,18 @@
   CHECK(this->IsHeld({kFirst, kBad}));
 }
 
+TEST_CASE_FIXTURE(Fixture, "an item that ends three endpoints is held by itself") {
+  const PromptKeys item{{kFirst}, 77};
+  this->quarantine.RecordAnswer({{kFirst}, {}}, this->now);
+  for (std::uint32_t end = 0; end < 3; ++end) {
+    CHECK(std::holds_alternative<PartsAllowed>(this->quarantine.Check(item, this->now)));
+    this->now += seconds(1);
+    this->quarantine.RecordEnd({"item", item, end, AttemptStage::kBegun}, this->now);
+  }
+  CHECK(std::holds_alternative<PartHeld>(this->quarantine.Check(item, this->now)));
+  CHECK_FALSE(this->IsHeld({kFirst}));
+}
+
 TEST_CASE_FIXTURE(Fixture, "requests that may still have waited weigh half") {
   for (int end = 0; end < 3; ++end) {
     this->End({kBad}, AttemptStage::kUnanswered);
@@ -87,7 +100,7 @@
 }
 
 TEST_CASE_FIXTURE(Fixture, "two bad parts are both held, and the part that they share is not") {
-  this->quarantine.RecordAnswer({kFirst}, this->now);
+  this->quarantine.RecordAnswer({{kFirst}, {}}, this->now);
   constexpr PartKey kOtherBad = 4;
   for (int end = 0; end < 2; ++end) {
     this->End({kFirst, kBad});
@@ -108,23 +121,23 @@
 
 TEST_CASE_FIXTURE(Fixture, "an answer ends the suspicion and releases a held part") {
   this->End({kBad});
-  this->quarantine.RecordAnswer({kBad}, this->now);
+  this->quarantine.RecordAnswer({{kBad}, {}}, this->now);
   this->End({kBad});
   this->End({kBad});
   CHECK_FALSE(this->IsHeld({kBad}));
-  this->quarantine.RecordAnswer({kBad}, this->now);
+  this->quarantine.RecordAnswer({{kBad}, {}}, this->now);
   CHECK_FALSE(this->IsHeld({kBad}));
 }
 
 TEST_CASE_FIXTURE(Fixture, "a part that was answered before is held after six ends in a row") {
-  this->quarantine.RecordAnswer({kBad}, this->now);
+  this->quarantine.RecordAnswer({{kBad}, {}}, this->now);
   for (int end = 0; end < 5; ++end) {
     this->End({kBad});
   }
   CHECK_FALSE(this->IsHeld({kBad}));
   this->End({kBad});
   CHECK(this->IsHeld({kBad}));
-  this->quarantine.RecordAnswer({kBad}, this->now);
+  this->quarantine.RecordAnswer({{kBad}, {}}, this->now);
   CHECK_FALSE(this->IsHeld({kBad}));
 }
 
@@ -159,17 +172,17 @@
   this->now += seconds(11);
   REQUIRE(this->MayProbe({kBad}));
   this->quarantine.RecordProbe(kBad, this->now);
-  this->quarantine.RecordAnswer({kBad}, this->now + milliseconds(70));
+  this->quarantine.RecordAnswer({{kBad}, {}}, this->now + milliseconds(70));
   CHECK_FALSE(this->IsHeld({kBad}));
   CHECK(this->quarantine.HeldCount() == 0);
 }
 
 TEST_CASE_FIXTURE(Fixture, "only requests with a part that was never answered wait for evidence") {
-  this->quarantine.RecordAnswer({kFirst}, this->now);
+  this->quarantine.RecordAnswer({{kFirst}, {}}, this->now);
   this->now += seconds(1);
   this->End({kFirst, kBad});
   const auto pause = [this](std::vector<PartKey> parts, AttemptStage stage) {
-    return this->quarantine.PauseBeforeRetry({"r", std::move(parts), 1, stage});
+    return this->quarantine.PauseBeforeRetry({"r", {std::move(parts), {}}, 1, stage});
   };
   CHECK(pause({kFirst, kBad}, AttemptStage::kBegun) > milliseconds(0));
   CHECK(pause({kFirst, kBad}, AttemptStage::kUnanswered) == milliseconds(0));
@@ -179,7 +192,7 @@
 TEST_CASE_FIXTURE(Fixture, "a caller is told when the next probe is due") {
   this->End({kBad});
   this->End({kBad});
-  const PartVerdict verdict = this->quarantine.Check({kBad}, this->now);
+  const PartVerdict verdict = this->quarantine.Check({{kBad}, {}}, this->now);
   REQUIRE(std::holds_alternative<PartHeld>(verdict));
   CHECK(std::get<PartHeld>(verdict).part == kBad);
   CHECK(std::get<PartHeld>(verdict).retry_after > seconds(9));
@@ -189,46 +202,48 @@
 TEST_CASE("nodes that exchange their evidence hold and release the same parts") {
   PartQuarantine one;
   PartQuarantine other;
-  one.RecordAnswer({kFirst}, kStart);
-  one.RecordEnd({"r1", {kFirst, kBad}, 1, AttemptStage::kBegun}, kStart + milliseconds(100));
-  other.RecordEnd({"r2", {kFirst, kBad}, 2, AttemptStage::kBegun}, kStart + milliseconds(300));
-  other.RecordEnd({"r3", {kFirst, kSubject}, 3, AttemptStage::kBegun}, kStart + milliseconds(500));
+  one.RecordAnswer({{kFirst}, {}}, kStart);
+  one.RecordEnd({"r1", {{kFirst, kBad}, {}}, 1, AttemptStage::kBegun}, kStart + milliseconds(100));
+  other.RecordEnd({"r2", {{kFirst, kBad}, {}}, 2, AttemptStage::kBegun},
+                  kStart + milliseconds(300));
+  other.RecordEnd({"r3", {{kFirst, kSubject}, {}}, 3, AttemptStage::kBegun},
+                  kStart + milliseconds(500));
   const net::SteadyTime now = kStart + seconds(1);
   other.Merge(one.Evidence(now), now);
   one.Merge(other.Evidence(now), now);
   for (const PartQuarantine* node : {&one, &other}) {
-    CHECK(std::holds_alternative<PartHeld>(node->Check({kFirst, kBad}, now)));
-    CHECK(std::holds_alternative<PartsAllowed>(node->Check({kFirst, kSubject}, now)));
+    CHECK(std::holds_alternative<PartHeld>(node->Check({{kFirst, kBad}, {}}, now)));
+    CHECK(std::holds_alternative<PartsAllowed>(node->Check({{kFirst, kSubject}, {}}, now)));
   }
   const std::uint64_t version = one.Version();
   one.Merge(other.Evidence(now), now);
   CHECK(one.Version() == version);
-  one.RecordAnswer({kBad}, now + seconds(1));
+  one.RecordAnswer({{kBad}, {}}, now + seconds(1));
   other.Merge(one.Evidence(now + seconds(2)), now + seconds(2));
-  CHECK(std::holds_alternative<PartsAllowed>(other.Check({kBad}, now + seconds(2))));
+  CHECK(std::holds_alternative<PartsAllowed>(other.Check({{kBad}, {}}, now + seconds(2))));
 }
 
 TEST_CASE("a node learns from another that a suspected part was answered") {
   PartQuarantine one;
   PartQuarantine other;
-  one.RecordAnswer({kFirst}, kStart);
+  one.RecordAnswer({{kFirst}, {}}, kStart);
   for (std::uint32_t end = 0; end < 3; ++end) {
-    other.RecordEnd({"r" + std::to_string(end), {kFirst}, end, AttemptStage::kBegun},
+    other.RecordEnd({"r" + std::to_string(end), {{kFirst}, {}}, end, AttemptStage::kBegun},
                     kStart + end * milliseconds(100));
   }
   const net::SteadyTime now = kStart + seconds(1);
-  CHECK(std::holds_alternative<PartHeld>(other.Check({kFirst}, now)));
+  CHECK(std::holds_alternative<PartHeld>(other.Check({{kFirst}, {}}, now)));
   one.Merge(other.Evidence(now), now);
   other.Merge(one.Evidence(now), now);
-  CHECK(std::holds_alternative<PartsAllowed>(other.Check({kFirst}, now)));
+  CHECK(std::holds_alternative<PartsAllowed>(other.Check({{kFirst}, {}}, now)));
 }
 
 TEST_CASE("the evidence and its share for other nodes are bounded, and held parts come first") {
   PartQuarantine quarantine;
-  quarantine.RecordEnd({"a", {kBad}, 1, AttemptStage::kBegun}, kStart);
-  quarantine.RecordEnd({"b", {kBad}, 2, AttemptStage::kBegun}, kStart + seconds(1));
+  quarantine.RecordEnd({"a", {{kBad}, {}}, 1, AttemptStage::kBegun}, kStart);
+  quarantine.RecordEnd({"b", {{kBad}, {}}, 2, AttemptStage::kBegun}, kStart + seconds(1));
   for (std::uint32_t end = 0; end < 2000; ++end) {
-    quarantine.RecordEnd({"c", {1000 + end}, 10 + end, AttemptStage::kBegun},
+    quarantine.RecordEnd({"c", {{1000 + end}, {}}, 10 + end, AttemptStage::kBegun},
                          kStart + seconds(2) + milliseconds(end));
   }
   const std::vector<PartEvidence> evidence = quarantine.Evidence(kStart + seconds(5));
--- a/src/gateway/tests/quarantine_simulation.cc
+++ b/src/gateway/tests/quarantine_simulation.cc
@@ -87,7 +87,7 @@
 
 void QuarantineSimulation::Send(Request request) {
   PartQuarantine& quarantine = this->nodes[request.node].quarantine;
-  const PartVerdict verdict = quarantine.Check(request.parts, this->now);
+  const PartVerdict verdict = quarantine.Check({request.parts, {}}, this->now);
   const bool is_held = std::holds_alternative<PartHeld>(verdict);
   if (!request.is_bad && this->IsSettled()) {
     ++this->result.sound;
@@ -144,7 +144,7 @@
     return;
   }
   const Request& request = found->second.request;
-  this->nodes[request.node].quarantine.RecordAnswer(request.parts, this->now);
+  this->nodes[request.node].quarantine.RecordAnswer({request.parts, {}}, this->now);
   running.erase(found);
 }
 
@@ -157,7 +157,7 @@
   for (const auto& [id, attempt] : lost) {
     const Request& request = attempt.request;
     PartQuarantine& quarantine = this->nodes[request.node].quarantine;
-    const RequestEnd end{request.id, request.parts, ended.incarnation, attempt.stage};
+    const RequestEnd end{request.id, {request.parts, {}}, ended.incarnation, attempt.stage};
     quarantine.RecordEnd(end, this->now);
     if (request.attempts < kMaxAttempts) {
       this->At(kFailureDelay + quarantine.PauseBeforeRetry(end),
@@ -241,7 +241,7 @@
                              ? kFirstBase + static_cast<PartKey>(first)
                              : kSubjectBase + static_cast<PartKey>(first - kFirstParts);
     for (const Node& node : this->nodes) {
-      if (!std::holds_alternative<PartsAllowed>(node.quarantine.Check({part}, this->now))) {
+      if (!std::holds_alternative<PartsAllowed>(node.quarantine.Check({{part}, {}}, this->now))) {
         held.insert(part);
       }
     }
--- a/src/gateway/types/inference_request.h
+++ b/src/gateway/types/inference_request.h
@@ -3,9 +3,8 @@
 #include <chrono>
 #include <optional>
 #include <string>
-#include <vector>
 
-#include "gateway/types/prompt_part.h"
+#include "gateway/types/prompt_keys.h"
 #include "net/http_types.h"
 
 namespace lentilhead::gateway {
@@ -18,8 +17,7 @@
   std::optional<std::chrono::milliseconds> deadline;  ///< timeout that the caller asked for
   /// Id of the last event already received, after which the stream resumes.
   std::optional<std::int64_t> last_event_id;
-  /// Keys of the parts of the prompt that other requests may share, in their order.
-  std::vector<PartKey> shared_parts;
+  PromptKeys keys;
   net::Request message;  ///< method, target, headers and body
 };
 
--- a/src/gateway/types/prompt_part.h
+++ b/src/gateway/types/prompt_part.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <xxhash.h>
+
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lentilhead::gateway {
@@ -9,6 +12,11 @@
 /// Key of a part of a prompt that requests may share; the same on all nodes.
 using PartKey = std::uint64_t;
 
+/// Returns the key of a part, or of another piece of work, by its id.
+[[nodiscard]] inline PartKey PartKeyOf(std::string_view id) {
+  return XXH64(id.data(), id.size(), 0);
+}
+
 /// Formats a key for logs.
 /// @return 16 hexadecimal digits.
 [[nodiscard]] std::string FormatPartKey(PartKey key);
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -89,7 +89,7 @@
   if (report.endpoint_ended) {
     const ItemSpec& spec = this->items.Spec(this->item);
     this->gateway.quarantine.RecordEnd(
-        {spec.id, spec.shared_parts, this->lease.Endpoint().incarnation, this->stage}, net::Now());
+        {spec.id, spec.keys, this->lease.Endpoint().incarnation, this->stage}, net::Now());
   }
   co_return report;
 }
@@ -106,7 +106,7 @@
     const net::SteadyTime arrival = net::Now();
     if (!part.events.empty()) {
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
-        this->gateway.quarantine.RecordAnswer(this->items.Spec(this->item).shared_parts, arrival);
+        this->gateway.quarantine.RecordAnswer(this->items.Spec(this->item).keys, arrival);
       }
       if (last_arrival != net::SteadyTime{}) {
         EndpointFeedback::RecordUnitLatency(
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -65,7 +65,7 @@
                                                        net::SteadyTime now) {
   while (const std::optional<std::size_t> item = job.items.NextItem(now)) {
     const gateway::PartVerdict verdict =
-        this->gateway.quarantine.Check(job.items.Spec(*item).shared_parts, now);
+        this->gateway.quarantine.Check(job.items.Spec(*item).keys, now);
     if (!std::holds_alternative<gateway::PartHeld>(verdict)) {
       return item;
     }
@@ -124,7 +124,7 @@
 void JobService::StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease) {
   const net::SteadyTime now = net::Now();
   const gateway::PartVerdict verdict =
-      this->gateway.quarantine.Check(job->items.Spec(item).shared_parts, now);
+      this->gateway.quarantine.Check(job->items.Spec(item).keys, now);
   if (const auto* probe = std::get_if<gateway::PartProbe>(&verdict)) {
     this->gateway.quarantine.RecordProbe(probe->part, now);
   }
@@ -193,7 +193,7 @@
       .With("failures", progress.failures)
       .With("stage", NameOf(report.stage))
       .With("endpoint_ended", report.endpoint_ended)
-      .With("parts", gateway::FormatPartKeys(job->items.Spec(item).shared_parts))
+      .With("parts", gateway::FormatPartKeys(job->items.Spec(item).keys.shared))
       .With("ms", net::ToMilliseconds(net::Now() - attempt->started).count());
 }
 
--- a/src/jobs/types/job_spec.h
+++ b/src/jobs/types/job_spec.h
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "gateway/types/prompt_part.h"
+#include "gateway/types/prompt_keys.h"
 
 namespace lentilhead::jobs {
 
@@ -16,7 +16,7 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   std::int64_t tokens = 0;  ///< tokens of the prompt plus the most that the item may generate
-  std::vector<gateway::PartKey> shared_parts;  ///< as of an InferenceRequest
+  gateway::PromptKeys keys;
 };
 
 /// The requests of a batch job, in the order of the submission.
