Do not tell callers that a request has not run when its endpoint ran it

An endpoint that runs a request may answer 408, 429 or 503 without the mark of a request that was not run. Callers of repeatable plain routes and of streams got that status, which promises that the request has not run; others got 502 already.

Such an answer is now a failure for all kinds: a repeatable request goes to another endpoint within its attempts, and what is left ends as 502. After: both cases pass.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -51,7 +51,11 @@
     co_return co_await this->AfterFailure(lease, CauseOf(body.state, kBodyCutCause));
   }
   const int code = static_cast<int>(answer.head.result_int());
-  if (code / 100 == 5 && this->routed.IsRepeatable() && this->MayRetry() && !this->stream_begun) {
+  // These statuses say that the request has not run.
+  const bool is_false_refusal =
+      (code == 503 || code == 429 || code == 408) && this->record.maybe_run;
+  const bool has_failed = code / 100 == 5 || is_false_refusal;
+  if (has_failed && this->routed.IsRepeatable() && this->MayRetry() && !this->stream_begun) {
     co_return co_await this->AfterFailure(lease, "endpoint_error");
   }
   if (answer.head.result() == status::internal_server_error) {
@@ -61,8 +65,7 @@
     co_await this->Fail(status::bad_gateway, "resume_refused");
     co_return Step::kDone;
   }
-  const bool invites_retry = (code == 503 || code == 429 || code == 408) && this->record.maybe_run;
-  if (invites_retry && !this->routed.IsRepeatable()) {
+  if (is_false_refusal) {
     co_await this->Fail(status::bad_gateway, "endpoint_error");
     co_return Step::kDone;
   }
