Keep a plain answer whose bytes flow although it takes long

An endpoint now counts as silent in a body only if the rest is not expected before the deadline by the pace so far, or, without a length, if fewer than 4 bytes a ms came.

--- a/src/gateway/attempt_policy.h
+++ b/src/gateway/attempt_policy.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 
+#include "gateway/types/body_progress.h"
 #include "gateway/types/route.h"
 #include "net/http_types.h"
 
@@ -29,6 +30,10 @@
                                                              net::SteadyTime deadline,
                                                              bool may_retry);
 
+  /// Whether a body flows so quickly that its endpoint does not count as silent.
+  /// @param left time until the deadline of the request.
+  [[nodiscard]] static bool IsOnCourse(const BodyProgress& body, std::chrono::milliseconds left);
+
   /// Time from which an endpoint counts as silent if the next event of a stream is still missing.
   [[nodiscard]] static net::SteadyTime SilentWithoutEventAt(const Route& route, net::SteadyTime now,
                                                             net::SteadyTime deadline,
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -196,6 +196,8 @@
   while (!error && !this->parser->is_header_done()) {
     error = co_await this->ReadSome(until);
   }
+  this->head_bytes = this->received;
+  this->head_at = net::Now();
   co_return error;
 }
 
@@ -289,6 +291,15 @@
   }
 }
 
+BodyProgress EndpointAttempt::Progress() const {
+  BodyProgress progress{this->received - this->head_bytes, std::nullopt,
+                        net::ToMilliseconds(net::Now() - this->head_at)};
+  if (this->parser && this->parser->content_length()) {
+    progress.left = this->parser->content_length_remaining().value_or(0);
+  }
+  return progress;
+}
+
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
   BodyPiece piece;
   if (!this->connection) {
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -10,6 +10,7 @@
 #include "gateway/types/answer_bound.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
+#include "gateway/types/body_progress.h"
 #include "gateway/types/endpoint_answer.h"
 
 namespace lentilhead::gateway {
@@ -67,6 +68,9 @@
   net::asio::awaitable<StartOutcome> Start(net::Request message, std::string request_id,
                                            AttemptLimits limits);
 
+  /// How far the body of the current answer has been received.
+  [[nodiscard]] BodyProgress Progress() const;
+
   /// Reads the next part of the body.
   /// @param until time limit of the read.
   net::asio::awaitable<BodyPiece> ReadPiece(net::SteadyTime until);
@@ -118,8 +122,10 @@
   ConnectionPool::Connection connection;
   std::unique_ptr<Parser> parser;
   std::string request_id;
-  std::size_t received = 0;   ///< bytes of the current answer
-  std::size_t discarded = 0;  ///< bytes of interim heads and of answers to other requests
+  std::size_t received = 0;    ///< bytes of the current answer
+  std::size_t head_bytes = 0;  ///< of these, before the body was read
+  net::SteadyTime head_at;     ///< time of the head of the current answer
+  std::size_t discarded = 0;   ///< bytes of interim heads and of answers to other requests
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -158,6 +158,12 @@
 }
 
 bool OnlineRun::LeaveSilentEndpoint() {
+  const milliseconds left = net::ToMilliseconds(this->routed.deadline - net::Now());
+  const bool is_plain_body =
+      this->stage == AttemptStage::kBegun && this->routed.route->kind != RouteKind::kStream;
+  if (is_plain_body && AttemptPolicy::IsOnCourse(this->attempt->Progress(), left)) {
+    return false;
+  }
   if (!std::exchange(this->silence_recorded, true)) {
     EndpointFeedback::RecordFailure(*this->endpoint, net::Now(), true);
   }
--- a/src/gateway/tests/attempt_policy_test.cc
+++ b/src/gateway/tests/attempt_policy_test.cc
@@ -31,6 +31,16 @@
         kStart + milliseconds(50));
 }
 
+TEST_CASE("a body counts as silence unless it is expected to end before the deadline") {
+  const BodyProgress half{100000, 100000, milliseconds(1200)};
+  CHECK(AttemptPolicy::IsOnCourse(half, milliseconds(1300)));
+  CHECK_FALSE(AttemptPolicy::IsOnCourse(half, milliseconds(1100)));
+  CHECK_FALSE(AttemptPolicy::IsOnCourse({24, 976, milliseconds(1200)}, milliseconds(3800)));
+  CHECK_FALSE(AttemptPolicy::IsOnCourse({0, 900, milliseconds(1200)}, milliseconds(3800)));
+  CHECK(AttemptPolicy::IsOnCourse({100000, std::nullopt, milliseconds(1200)}, milliseconds(3800)));
+  CHECK_FALSE(AttemptPolicy::IsOnCourse({24, std::nullopt, milliseconds(1200)}, milliseconds(900)));
+}
+
 TEST_CASE("a request waits at most a quarter of its latency objective for a free slot") {
   Route route;
   route.target_latency = milliseconds(300);
