Bound what one part costs in messages, and take no times or weights of others on trust

A part's evidence keeps its newest 8 ends (12 before), as many as its longest threshold needs, so a held part costs about 150 bytes a message. Ages below zero and weights beyond the known ones are brought into their range (a new test). A request that is refused because of a held part gives its slot back before the answer is written.

--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -31,12 +31,15 @@
   co_return ended;
 }
 
-awaitable<bool> OnlineRun::RefuseIfHeld() {
+awaitable<bool> OnlineRun::RefuseIfHeld(EndpointLease* lease) {
   const PartVerdict verdict = this->gateway.quarantine.Check(this->routed.request.keys, net::Now());
   const auto* held = std::get_if<PartHeld>(&verdict);
   if (held == nullptr) {
     co_return false;
   }
+  if (lease != nullptr) {
+    lease->Release();
+  }
   this->held_part = held->part;
   co_await this->Refuse("part_held", held->retry_after);
   co_return true;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -231,7 +231,7 @@
 }
 
 awaitable<OnlineRun::Step> OnlineRun::TryEndpoint(EndpointLease lease) {
-  const bool is_held = co_await this->RefuseIfHeld();
+  const bool is_held = co_await this->RefuseIfHeld(&lease);
   if (is_held) {
     co_return Step::kDone;
   }
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -65,8 +65,10 @@
   net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
-  /// Refuses the request if a part of its prompt is held back. @return whether it was refused.
-  net::asio::awaitable<bool> RefuseIfHeld();
+  /// Refuses the request if a part of its prompt is held back.
+  /// @param lease slot to release first, if there is one.
+  /// @return whether it was refused.
+  net::asio::awaitable<bool> RefuseIfHeld(EndpointLease* lease = nullptr);
   net::asio::awaitable<void> Refuse(std::string_view reason);
   net::asio::awaitable<void> Refuse(std::string_view reason, std::chrono::milliseconds wait);
   net::asio::awaitable<void> Fail(net::http::status status, std::string_view reason);
--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -36,7 +36,7 @@
 constexpr int kMaxProbeExponent = 3;
 // A request with the part may not come at the node whose turn it is.
 constexpr seconds kProbeTurn{2};
-constexpr std::size_t kMaxEnds = 12;  // for each part; the newest count
+constexpr std::size_t kMaxEnds = 8;  // for each part; the newest count
 constexpr std::size_t kMaxSuspects = 256;
 
 std::uint32_t KeyOf(const std::string& request_id) {
@@ -258,16 +258,18 @@
   Suspect& suspect = this->SuspectOf(evidence.part, evidence.depth);
   bool changed = false;
   if (evidence.answer_age) {
-    const net::SteadyTime at = now - *evidence.answer_age;
+    const net::SteadyTime at = now - std::max(*evidence.answer_age, milliseconds(0));
     changed = suspect.last_answer == net::SteadyTime{};
     this->NoteAnswer(evidence.part, at, now);
   }
   for (const PartEnd& end : evidence.ends) {
-    changed = AddEnd(suspect, {end.endpoint, end.request, end.weight, now - end.age}) || changed;
+    const int weight = std::clamp(end.weight, kUnansweredWeight, kBegunWeight);
+    const milliseconds age = std::max(end.age, milliseconds(0));
+    changed = AddEnd(suspect, {end.endpoint, end.request, weight, now - age}) || changed;
   }
   if (evidence.probes > suspect.probes) {
     suspect.probes = evidence.probes;
-    suspect.last_probe = now - evidence.probe_age;
+    suspect.last_probe = now - std::max(evidence.probe_age, milliseconds(0));
     suspect.last_changed = std::max(suspect.last_changed, suspect.last_probe);
     changed = true;
   }
--- a/src/gateway/tests/part_quarantine_test.cc
+++ b/src/gateway/tests/part_quarantine_test.cc
@@ -238,6 +238,20 @@
   CHECK(std::holds_alternative<PartsAllowed>(other.Check({{kFirst}, {}}, now)));
 }
 
+TEST_CASE("evidence with times in the future or great weights counts as ordinary evidence") {
+  PartQuarantine quarantine;
+  PartEvidence forged;
+  forged.part = kBad;
+  forged.ends = {{1, 1, 1000, seconds(-3600)}};
+  forged.probe_age = seconds(-3600);
+  forged.probes = 1;
+  quarantine.Merge({forged}, kStart);
+  CHECK(std::holds_alternative<PartsAllowed>(quarantine.Check({{kBad}, {}}, kStart)));
+  quarantine.RecordAnswer({{kBad}, {}}, kStart + seconds(1));
+  quarantine.Prune(kStart + seconds(12));
+  CHECK(quarantine.Evidence(kStart + seconds(12)).empty());
+}
+
 TEST_CASE("the evidence and its share for other nodes are bounded, and held parts come first") {
   PartQuarantine quarantine;
   quarantine.RecordEnd({"a", {{kBad}, {}}, 1, AttemptStage::kBegun}, kStart);
