--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -36,7 +36,6 @@
 constexpr int kMaxProbeExponent = 3;
 // A request with the part may not come at the node whose turn it is.
 constexpr seconds kProbeTurn{2};
-constexpr std::size_t kMaxEnds = 8;  // for each part; the newest count
 constexpr std::size_t kMaxSuspects = 256;
 
 std::uint32_t KeyOf(const std::string& request_id) {
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -33,6 +33,8 @@
   /// Tells whether this node may send the probe of a part in a turn. Turns go round the nodes.
   using TurnCheck = std::function<bool(PartKey part, std::uint64_t turn)>;
 
+  /// Ends that are kept of a part; the newest count.
+  static constexpr std::size_t kMaxEnds = 8;
   /// Longest list of evidence that Evidence() returns.
   static constexpr std::size_t kMaxSharedEvidence = 24;
 
--- a/src/gateway/tests/part_quarantine_test.cc
+++ b/src/gateway/tests/part_quarantine_test.cc
@@ -13,6 +13,7 @@
 constexpr PartKey kFirst = 1;    // shared by sound requests
 constexpr PartKey kSubject = 2;  // shared by some of them
 constexpr PartKey kBad = 3;
+constexpr PartKey kOtherBad = 4;
 constexpr net::SteadyTime kStart{std::chrono::hours(1)};
 
 /// A quarantine with a clock.
@@ -101,7 +102,6 @@
 
 TEST_CASE_FIXTURE(Fixture, "two bad parts are both held, and the part that they share is not") {
   this->quarantine.RecordAnswer({{kFirst}, {}}, this->now);
-  constexpr PartKey kOtherBad = 4;
   for (int end = 0; end < 2; ++end) {
     this->End({kFirst, kBad});
     this->End({kFirst, kOtherBad});
--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -1,10 +1,13 @@
 #include "peers/types/peer_message.h"
+#include "gateway/part_quarantine.h"
 
 #include <doctest/doctest.h>
 
 namespace lentilhead::peers {
 namespace {
 
+constexpr std::size_t kMostBytesOfPart = 170;
+
 TEST_CASE("a message is decoded as it was encoded") {
   const PeerMessage message{"node",
                             "node#1",
@@ -74,6 +77,21 @@
   CHECK_FALSE(Decode(Encode(EvidenceMessage{"node#1", message.parts}), read));
 }
 
+TEST_CASE("a held part adds a bounded number of bytes to a message") {
+  PeerMessage message{"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}, {}};
+  const std::size_t before = Encode(message).size();
+  gateway::PartEvidence part;
+  part.part = 0xfedcba9876543210;
+  part.probe_age = std::chrono::hours(1);
+  for (std::uint32_t end = 0; end < gateway::PartQuarantine::kMaxEnds; ++end) {
+    part.ends.push_back({0xfedcba98 + end, 0xfedcba98 + end, 2, std::chrono::hours(1)});
+  }
+  message.parts = {part};
+  const std::size_t added = Encode(message).size() - before;
+  MESSAGE("bytes of a held part: " << added);
+  CHECK(added <= kMostBytesOfPart);
+}
+
 TEST_CASE("a truncated or foreign datagram is rejected") {
   const std::string bytes =
       Encode({"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}, {}});
