--- a/src/apps/node/main.cc
+++ b/src/apps/node/main.cc
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -43,6 +44,8 @@
 }  // namespace
 
 int main(int argc, const char** argv) {
+  // Until the node handles it; the settings are read later than that.
+  std::signal(SIGHUP, SIG_IGN);
   auto parsed = lentilhead::node::ParseOptions(argc, argv);
   if (const auto* error = std::get_if<lentilhead::node::UsageError>(&parsed)) {
     std::cerr << "lentilhead-node: " << error->message << "\n";
