--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -1,8 +1,9 @@
 #include "peers/types/peer_message.h"
-#include "gateway/part_quarantine.h"
 
 #include <doctest/doctest.h>
 
+#include "gateway/part_quarantine.h"
+
 namespace lentilhead::peers {
 namespace {
 
