--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
+#include "gateway/types/limit_change.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -222,6 +223,7 @@
     AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
     answer.decoded = platform::DecodeAnswer(answer.head);
     this->RecordIfLeaving(answer.decoded);
+    this->LogLimit(answer.decoded);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
     if (answered == this->request_id || (answered.empty() && !is_success)) {
@@ -258,6 +260,29 @@
   this->gateway.metrics.GetCounter("gateway_endpoints_leaving_total", {{"source", "answer"}}).Add();
 }
 
+void EndpointAttempt::LogLimit(const EndpointAnswer& answer) {
+  if (answer.other_instance || std::holds_alternative<LimitUnreadable>(answer.limit)) {
+    return;
+  }
+  const auto* named = std::get_if<LimitNamed>(&answer.limit);
+  const double limit = named != nullptr ? named->requests_per_second : 0;
+  const double before = std::exchange(this->endpoint->named_limit, limit);
+  if (before == limit) {
+    return;
+  }
+  const LimitChange change = before == 0  ? LimitChange::kNamed
+                             : limit == 0 ? LimitChange::kEnded
+                                          : LimitChange::kChanged;
+  net::LogLine("endpoint_limit")
+      .With("endpoint", this->endpoint->entry.id)
+      .With("change", NameOf(change))
+      .With("limit", limit)
+      .With("request", answer.request_id)
+      .With("own_attempts", this->endpoint->attempts.At(net::Now()))
+      .With("own", this->endpoint->OwnTotal())
+      .With("peers", this->endpoint->peer_online + this->endpoint->peer_batch);
+}
+
 AnswerFraming EndpointAttempt::Framing() const {
   if (this->parser->chunked()) {
     return AnswerFraming::kChunks;
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -113,6 +113,7 @@
   /// Closes the connection after a read of the body failed.
   void AbortAfter(const net::ErrorCode& error);
   void RecordIfLeaving(const EndpointAnswer& answer);
+  void LogLimit(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
   void Finish();
 
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -223,7 +223,8 @@
       .With("peers", endpoint.peer_online + endpoint.peer_batch)
       .With("slots", endpoint.entry.slots)
       .With("waited_ms", net::ToMilliseconds(now - this->routed.arrival).count())
-      .With("config", this->routed.config->version);
+      .With("config", this->routed.config->version)
+      .With("limit", endpoint.named_limit);
   if (endpoint.reported) {
     line.With("reported", endpoint.reported->running + endpoint.reported->waiting)
         .With("report_age_ms", net::ToMilliseconds(now - endpoint.reported_at).count());
--- a/src/gateway/types/endpoint_answer.h
+++ b/src/gateway/types/endpoint_answer.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/types/limit_notice.h"
 #include "gateway/types/reported_load.h"
 
 namespace lentilhead::gateway {
@@ -17,6 +18,7 @@
   bool is_event_stream = true;  ///< the body is a series of events; false if another type is stated
   bool is_leaving = false;      ///< the endpoint finishes its open work and exits
   std::optional<ReportedLoad> load;
+  LimitNotice limit;
   std::optional<std::chrono::seconds> idle_limit;  ///< idle time before it closes a connection
 };
 
