--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -139,6 +139,7 @@
     return net::tcp::endpoint(peer, PeerListener(this->settings).port());
   });
   this->ConnectQuarantine();
+  this->ConnectLimits();
   this->peers.SetStoreServed([this] { return this->store.IsServingThisNode(); });
   this->Spawn("follow_config", this->config_follower.Run());
   this->Spawn("follow_endpoints", this->endpoint_follower.Run());
@@ -222,6 +223,8 @@
   this->job_service.UpdateGauges();
   values.GetGauge("gateway_parts_held")
       .Set(static_cast<std::int64_t>(this->gateway.quarantine.HeldCount()));
+  values.GetGauge("gateway_endpoints_limited")
+      .Set(static_cast<std::int64_t>(this->gateway.registry.Limits().LimitedCount()));
   values.GetGauge("node_peers_alive").Set(static_cast<std::int64_t>(this->peers.Alive().size()));
   values.GetGauge("node_store_served").Set(this->store.IsServingThisNode() ? 1 : 0);
   values.GetGauge("node_config_version").Set(this->gateway.routes.Version());
@@ -295,6 +298,7 @@
     this->gateway.pool.Prune(net::Now());
     this->gateway.registry.Prune(net::Now());
     this->gateway.quarantine.Prune(net::Now());
+    this->PruneLimits();
     this->gateway.registry.Outliers().UpdateEjections(this->gateway.registry.All(), net::Now());
     this->UpdateGroup();
     this->gateway.admission.Dispatch();
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -64,6 +64,10 @@
   void UpdateGroup();
   void Reload(std::string_view cause);
   void RefreshAfterStall();
+  /// Lets peers hear soon of what endpoints say of their limits.
+  void ConnectLimits();
+  /// Ends limits that endpoints name no more.
+  void PruneLimits();
 
   Options options;
   gateway::NodeSettings settings;
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -14,7 +14,8 @@
  public:
   Admission(net::asio::any_io_executor executor, EndpointRegistry& registry);
 
-  /// Waits for a free slot at an endpoint.
+  /// Waits for a free slot at an endpoint. Does not wait if the limits that the endpoints name are
+  /// expected to allow the request only after `until`.
   /// @param priority priority of the request; 0 is the most urgent.
   /// @param until time at which the wait ends without a slot.
   /// @param cancel ends the wait early.
@@ -46,12 +47,16 @@
 
   /// Whether a request must queue behind another one of its service.
   [[nodiscard]] bool HasQueue(const std::string& service) const;
+  /// Assigns slots from time to time while requests wait and limits apply.
+  void PollWhileLimited();
   EndpointLease MakeLease(std::shared_ptr<EndpointState> endpoint, WorkClass work);
   std::list<Ticket*>::iterator Enqueue(Ticket& ticket);
 
   net::asio::any_io_executor executor;
   EndpointRegistry& registry;
   std::list<Ticket*> waiting;
+  net::asio::steady_timer poll_timer;
+  bool is_polling = false;
   std::function<void(const EndpointState&)> on_load_change;
 };
 
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -2,9 +2,11 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "gateway/endpoint_limits.h"
 #include "gateway/outlier_detector.h"
 #include "gateway/placement.h"
 #include "gateway/types/choice.h"
@@ -22,7 +24,7 @@
 class EndpointRegistry {
  public:
   /// @param zone availability zone of this node; among equals, its endpoints are preferred.
-  explicit EndpointRegistry(std::string zone) : zone(zone), outliers(std::move(zone)) {}
+  explicit EndpointRegistry(std::string zone);
 
   /// Replaces the endpoint list.
   /// @param keep_missing_until endpoints missing from `entries` stay usable until then.
@@ -53,11 +55,24 @@
   void SetPeerLoad(const std::string& peer, const std::vector<EndpointLoad>& loads);
 
   /// Sets the average age of the peers' loads.
-  void SetPeerLoadAge(std::chrono::milliseconds age) { this->peer_load_age = age; }
+  void SetPeerLoadAge(std::chrono::milliseconds age);
 
   /// The detector that ejects endpoints with a high failure rate.
   [[nodiscard]] OutlierDetector& Outliers() { return this->outliers; }
 
+  /// The limits that endpoints name on the requests of all nodes together.
+  [[nodiscard]] EndpointLimits& Limits() { return this->limits; }
+
+  /// Expected time until the limits of a service's endpoints allow one more request of this node.
+  /// @param waiting requests that wait before it.
+  /// @return no value if an endpoint that may be chosen names no limit.
+  [[nodiscard]] std::optional<std::chrono::milliseconds> PermitWait(const ChoiceRequest& request,
+                                                                    std::size_t waiting,
+                                                                    net::SteadyTime now) const;
+
+  /// The endpoint of an incarnation; null if it is not known.
+  [[nodiscard]] std::shared_ptr<EndpointState> FindIncarnation(std::uint32_t incarnation) const;
+
   /// Keys of the endpoints that this node recently found unreachable.
   [[nodiscard]] std::vector<std::uint32_t> Unreachable(net::SteadyTime now) const;
 
@@ -108,6 +123,9 @@
 
   [[nodiscard]] Choice ChooseAmong(const ChoiceRequest& request, Scope scope,
                                    double median_latency_ms, net::SteadyTime now) const;
+  /// Whether the limit that an endpoint names leaves room for one more request.
+  [[nodiscard]] bool IsWithinLimit(const EndpointState& state, const ChoiceRequest& request,
+                                   net::SteadyTime now) const;
   [[nodiscard]] double UnseenRequests(const ChoiceRequest& request, Scope scope,
                                       int shared_by) const;
   [[nodiscard]] double MedianUnitLatency(const std::string& service) const;
@@ -117,6 +135,7 @@
 
   std::string zone;
   OutlierDetector outliers;
+  EndpointLimits limits;
   std::chrono::milliseconds peer_load_age{0};
   bool has_whole_group = true;  ///< the group uses all endpoints
   std::uint64_t list_version = 0;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
-#include "gateway/types/limit_change.h"
+#include "gateway/limit_changes.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -100,6 +100,9 @@
   const ConnectionPool::Connection held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
   held->is_written = false;
+  if (std::exchange(this->is_repeat, true)) {
+    this->gateway.registry.Limits().RecordSent(this->endpoint->incarnation, net::Now());
+  }
   this->request_id = std::move(request_id);
   this->discarded = 0;
   held->sent_at = net::Now();
@@ -223,10 +226,10 @@
     AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
     answer.decoded = platform::DecodeAnswer(answer.head);
     this->RecordIfLeaving(answer.decoded);
-    this->LogLimit(answer.decoded);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
     if (answered == this->request_id || (answered.empty() && !is_success)) {
+      this->RecordLimit(answer.decoded);
       const std::uint64_t length = this->parser->content_length().value_or(0);
       if (!is_head_request && length > AnswerLimits::kMaxAnswerBytes) {
         this->AbortOverLimit(AnswerBound::kAnswer, length);
@@ -260,27 +263,14 @@
   this->gateway.metrics.GetCounter("gateway_endpoints_leaving_total", {{"source", "answer"}}).Add();
 }
 
-void EndpointAttempt::LogLimit(const EndpointAnswer& answer) {
-  if (answer.other_instance || std::holds_alternative<LimitUnreadable>(answer.limit)) {
-    return;
-  }
-  const auto* named = std::get_if<LimitNamed>(&answer.limit);
-  const double limit = named != nullptr ? named->requests_per_second : 0;
-  const double before = std::exchange(this->endpoint->named_limit, limit);
-  if (before == limit) {
+void EndpointAttempt::RecordLimit(const EndpointAnswer& answer) {
+  if (answer.other_instance) {
     return;
   }
-  const LimitChange change = before == 0  ? LimitChange::kNamed
-                             : limit == 0 ? LimitChange::kEnded
-                                          : LimitChange::kChanged;
-  net::LogLine("endpoint_limit")
-      .With("endpoint", this->endpoint->entry.id)
-      .With("change", NameOf(change))
-      .With("limit", limit)
-      .With("request", answer.request_id)
-      .With("own_attempts", this->endpoint->attempts.At(net::Now()))
-      .With("own", this->endpoint->OwnTotal())
-      .With("peers", this->endpoint->peer_online + this->endpoint->peer_batch);
+  const std::uint32_t incarnation = this->endpoint->incarnation;
+  const LimitChange change = this->gateway.registry.Limits().RecordAnswer(
+      incarnation, answer.limit, this->connection->sent_at, net::Now());
+  ReportLimitChange(this->gateway, incarnation, change, "answer");
 }
 
 AnswerFraming EndpointAttempt::Framing() const {
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -113,7 +113,7 @@
   /// Closes the connection after a read of the body failed.
   void AbortAfter(const net::ErrorCode& error);
   void RecordIfLeaving(const EndpointAnswer& answer);
-  void LogLimit(const EndpointAnswer& answer);
+  void RecordLimit(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
   void Finish();
 
@@ -123,6 +123,7 @@
   ConnectionPool::Connection connection;
   std::unique_ptr<Parser> parser;
   std::string request_id;
+  bool is_repeat = false;      ///< the request was sent before; the lease counts one
   std::size_t received = 0;    ///< bytes of the current answer
   std::size_t head_bytes = 0;  ///< of these, before the body was read
   net::SteadyTime head_at;     ///< time of the head of the current answer
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -73,6 +73,13 @@
 
 }  // namespace
 
+EndpointRegistry::EndpointRegistry(std::string zone)
+    : zone(zone),
+      outliers(std::move(zone)),
+      limits(
+          static_cast<std::uint32_t>(net::RandomBelow(std::numeric_limits<std::uint32_t>::max()))) {
+}
+
 std::uint32_t HashKey(const std::string& id) { return XXH32(id.data(), id.size(), 0); }
 
 void EndpointRegistry::Put(const EndpointEntry& entry) {
@@ -130,6 +137,7 @@
     const auto selected = group.shared_by.find(id);
     state->in_group = selected != group.shared_by.end();
     state->shared_by = state->in_group ? selected->second : 1;
+    this->limits.SetSharedBy(state->incarnation, state->shared_by);
   }
 }
 
@@ -142,6 +150,7 @@
     if (expired) {
       ++this->list_version;
       this->by_key.erase(state.key);
+      this->limits.Forget(state.incarnation);
     }
     return expired;
   });
@@ -197,6 +206,52 @@
   return other.endpoint || choice.reason == NoChoice::kNoUsable ? other : choice;
 }
 
+bool EndpointRegistry::IsWithinLimit(const EndpointState& state, const ChoiceRequest& request,
+                                     net::SteadyTime now) const {
+  if (!state.in_group) {
+    // The nodes of the endpoint's group use the whole limit.
+    return !this->limits.IsLimited(state.incarnation);
+  }
+  return this->limits.MaySend(state.incarnation, HashKey(request.service), request.work, now);
+}
+
+std::optional<milliseconds> EndpointRegistry::PermitWait(const ChoiceRequest& request,
+                                                         std::size_t waiting,
+                                                         net::SteadyTime now) const {
+  double rate = 0;
+  for (const auto& [id, state] : this->endpoints) {
+    const bool excluded =
+        std::find(request.excluded.begin(), request.excluded.end(), id) != request.excluded.end();
+    if (state->entry.service != request.service || !state->in_group || excluded ||
+        !IsUsable(*state, now) || HealthOf(*state, now) == Health::kUnreachable) {
+      continue;
+    }
+    const std::optional<double> own =
+        this->limits.OwnRate(state->incarnation, HashKey(request.service), now);
+    if (!own) {
+      return std::nullopt;
+    }
+    rate += *own;
+  }
+  if (rate <= 0) {
+    return std::nullopt;
+  }
+  const double seconds = static_cast<double>(waiting + 1) / rate;
+  return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
+}
+
+std::shared_ptr<EndpointState> EndpointRegistry::FindIncarnation(std::uint32_t incarnation) const {
+  const auto found =
+      std::find_if(this->endpoints.begin(), this->endpoints.end(),
+                   [&](const auto& item) { return item.second->incarnation == incarnation; });
+  return found == this->endpoints.end() ? nullptr : found->second;
+}
+
+void EndpointRegistry::SetPeerLoadAge(milliseconds age) {
+  this->peer_load_age = age;
+  this->limits.SetNewsDelay(2 * age);
+}
+
 double EndpointRegistry::UnseenRequests(const ChoiceRequest& request, Scope scope,
                                         int shared_by) const {
   if (scope == Scope::kOthers) {
@@ -227,7 +282,8 @@
     const Health health = HealthOf(*state, now);
     any_reachable = any_reachable || health != Health::kUnreachable;
     if (!HasCapacity(*state, request.work, EstimatedTotal(*state, now)) || health < best_health ||
-        (health != Health::kHealthy && needs_healthy)) {
+        (health != Health::kHealthy && needs_healthy) ||
+        !this->IsWithinLimit(*state, request, now)) {
       continue;
     }
     if (health > best_health) {
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -194,6 +194,11 @@
       break;
     }
     if (!admitted.lease) {
+      if (admitted.permit_wait) {
+        co_await this->Refuse("endpoint_limits", RefusalPolicy::RetryAfterPermit(
+                                                     *admitted.permit_wait, net::RandomFraction()));
+        co_return;
+      }
       const bool full = admitted.reason == NoChoice::kAllFull;
       co_await this->Refuse(full ? "all_full" : "no_endpoint");
       co_return;
@@ -224,7 +229,7 @@
       .With("slots", endpoint.entry.slots)
       .With("waited_ms", net::ToMilliseconds(now - this->routed.arrival).count())
       .With("config", this->routed.config->version)
-      .With("limit", endpoint.named_limit);
+      .With("limit", this->gateway.registry.Limits().LimitOf(endpoint.incarnation));
   if (endpoint.reported) {
     line.With("reported", endpoint.reported->running + endpoint.reported->waiting)
         .With("report_age_ms", net::ToMilliseconds(now - endpoint.reported_at).count());
--- a/src/gateway/internal/refusal_policy.cc
+++ b/src/gateway/internal/refusal_policy.cc
@@ -11,7 +11,9 @@
 // Share of the latency objective that a request may wait, so that it can still be served in time.
 constexpr double kQueueWaitShare = 0.22;
 constexpr milliseconds kDefaultQueueWait{100};
-constexpr milliseconds kMinRetryAfter{400};     // an endpoint frees a slot every few tens of ms
+constexpr milliseconds kMinRetryAfter{400};  // an endpoint frees a slot every few tens of ms
+// A limit may rise or end at any time, and callers mostly have a few seconds.
+constexpr milliseconds kMaxPermitWait{3000};
 constexpr milliseconds kRetryAfterSpread{900};  // jitter, so that callers do not retry together
 
 }  // namespace
@@ -27,4 +29,9 @@
   return kMinRetryAfter + std::chrono::duration_cast<milliseconds>(draw * kRetryAfterSpread);
 }
 
+milliseconds RefusalPolicy::RetryAfterPermit(milliseconds permit_wait, double draw) {
+  const milliseconds spread = RetryAfter(draw) - kMinRetryAfter;
+  return std::clamp(permit_wait, kMinRetryAfter, kMaxPermitWait) + spread;
+}
+
 }  // namespace lentilhead::gateway
--- a/src/gateway/refusal_policy.h
+++ b/src/gateway/refusal_policy.h
@@ -20,6 +20,13 @@
   /// Delay after which a refused caller is to retry.
   /// @param draw random number from 0 up to, but not including, 1; adds jitter to the delay.
   [[nodiscard]] static std::chrono::milliseconds RetryAfter(double draw);
+
+  /// Delay after which a caller is to retry that was refused because endpoints limit their
+  /// requests.
+  /// @param permit_wait expected time until its request could be sent.
+  /// @param draw random number from 0 up to, but not including, 1; adds jitter to the delay.
+  [[nodiscard]] static std::chrono::milliseconds RetryAfterPermit(
+      std::chrono::milliseconds permit_wait, double draw);
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/tests/admission_test.cc
+++ b/src/gateway/tests/admission_test.cc
@@ -38,6 +38,37 @@
   CancelScope cancel;
 };
 
+TEST_CASE("a request that limits allow too late is refused at once, with the time until then") {
+  AdmissionFixture fixture;
+  for (const char* id : {"free", "full"}) {
+    fixture.registry.Limits().RecordAnswer(fixture.registry.All().at(id)->incarnation,
+                                           LimitNamed{0.5}, net::Now(), net::Now());
+  }
+  AdmissionOutcome refused;
+  fixture.Request({}, refused);
+  fixture.loop.run_for(milliseconds(10));
+  CHECK(fixture.loop.stopped());
+  CHECK_FALSE(refused.lease);
+  REQUIRE(refused.permit_wait);
+  CHECK(refused.permit_wait->count() == doctest::Approx(1000).epsilon(0.01));
+}
+
+TEST_CASE("a request that limits allow soon waits for it") {
+  AdmissionFixture fixture;
+  for (const char* id : {"free", "full"}) {
+    fixture.registry.Limits().RecordAnswer(fixture.registry.All().at(id)->incarnation,
+                                           LimitNamed{20}, net::Now(), net::Now());
+  }
+  AdmissionOutcome served;
+  fixture.Request({}, served);
+  fixture.loop.run_for(milliseconds(10));
+  CHECK_FALSE(served.lease);
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(180));
+  REQUIRE(served.lease);
+  CHECK(served.lease.Endpoint().entry.id == "free");
+}
+
 TEST_CASE("a request that waits for another endpoint does not keep others from a free slot") {
   AdmissionFixture fixture;
   AdmissionOutcome waiting;
--- a/src/gateway/tests/attempt_policy_test.cc
+++ b/src/gateway/tests/attempt_policy_test.cc
@@ -49,6 +49,9 @@
   CHECK(until > kStart);
   CHECK(until <= kStart + route.target_latency / 4);
   CHECK(RefusalPolicy::RetryAfter(0) < RefusalPolicy::RetryAfter(0.99));
+  CHECK(RefusalPolicy::RetryAfterPermit(milliseconds(50), 0) == RefusalPolicy::RetryAfter(0));
+  CHECK(RefusalPolicy::RetryAfterPermit(milliseconds(1700), 0) == milliseconds(1700));
+  CHECK(RefusalPolicy::RetryAfterPermit(std::chrono::hours(1), 0) <= std::chrono::seconds(3));
 }
 
 }  // namespace
--- a/src/gateway/types/admission_outcome.h
+++ b/src/gateway/types/admission_outcome.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include <chrono>
+#include <optional>
+
 #include "gateway/endpoint_lease.h"
 #include "gateway/types/choice.h"
 
@@ -9,6 +12,8 @@
 struct AdmissionOutcome {
   EndpointLease lease;                   ///< empty if no slot was free in time
   NoChoice reason = NoChoice::kAllFull;  ///< kChosen with a lease
+  /// Expected time until a request could be sent, if the limits of the endpoints prevented it.
+  std::optional<std::chrono::milliseconds> permit_wait;
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -34,7 +34,6 @@
   int peer_online = 0;                   ///< online requests of all other nodes in flight
   int peer_batch = 0;                    ///< batch requests of all other nodes in flight
   std::optional<ReportedLoad> reported;  ///< load from the last answer that stated one
-  double named_limit = 0;                ///< requests per second; 0 while none is named
   int own_at_report = 0;                 ///< OwnTotal() when that load was reported
   net::SteadyTime reported_at;
   /// Moving average of the time per unit of work: an answer or a stream event. 0 without a sample.
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/limit_changes.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
 
@@ -28,6 +29,8 @@
 constexpr double kGroupPeriodPerPeerMs = 6.5;
 // Evidence is repeated because some datagrams are lost and nodes start.
 constexpr milliseconds kEvidencePeriod{1000};
+// Changes of limits are repeated, too.
+constexpr milliseconds kLimitsPeriod{1000};
 // Nodes of other groups that evidence is sent to at a time; they pass on what is new to them.
 constexpr std::size_t kOtherGroupNodes = 4;
 constexpr std::size_t kMaxDatagramBytes = 16 << 10;  // holds 740 endpoints
@@ -102,26 +105,40 @@
   this->WakeSender();
 }
 
-std::string PeerExchange::NextMessage(std::vector<gateway::PartEvidence> evidence) {
+std::string PeerExchange::NextMessage(std::vector<gateway::PartEvidence> evidence,
+                                      gateway::LimitReport limits) {
   const net::SteadyTime now = net::Now();
   return Encode({this->name, this->incarnation, ++this->sequence, this->gateway.routes.Version(),
                  this->view.EndpointsVersion(), this->gateway.stopping,
                  this->store_served && this->store_served(),
                  this->gateway.registry.Unreachable(now), this->gateway.registry.OwnLoads(),
                  this->gateway.registry.Outliers().OwnReport(this->gateway.registry.All(), now),
-                 this->gateway.registry.SaidLeaving(now), std::move(evidence)});
+                 this->gateway.registry.SaidLeaving(now), std::move(evidence), std::move(limits)});
 }
 
-std::vector<gateway::PartEvidence> PeerExchange::DueEvidence(net::SteadyTime now) {
+gateway::LimitReport PeerExchange::DueLimits(bool to_new_peer, net::SteadyTime now) {
+  using Scope = gateway::EndpointLimits::Scope;
+  const bool is_repeat_due = now - this->recent_limits_sent >= kLimitsPeriod;
+  if (is_repeat_due) {
+    this->recent_limits_sent = now;
+  }
+  gateway::EndpointLimits& limits = this->gateway.registry.Limits();
+  const Scope scope = to_new_peer ? Scope::kAll : is_repeat_due ? Scope::kRecent : Scope::kChanges;
+  gateway::LimitReport report = limits.Report(scope, now);
+  limits.NoteReportSent(now);
+  return report;
+}
+
+std::vector<gateway::PartEvidence> PeerExchange::DueEvidence(bool to_new_peer,
+                                                             net::SteadyTime now) {
   const std::uint64_t version = this->gateway.quarantine.Version();
-  const bool is_due = version != this->evidence_version || this->has_new_peer ||
+  const bool is_due = version != this->evidence_version || to_new_peer ||
                       now - this->evidence_sent >= kEvidencePeriod;
   if (!is_due) {
     return {};
   }
   this->evidence_version = version;
   this->evidence_sent = now;
-  this->has_new_peer = false;
   return this->gateway.quarantine.Evidence(now);
 }
 
@@ -152,8 +169,9 @@
     this->last_probe = now;
     this->has_new_candidate = false;
   }
-  std::vector<gateway::PartEvidence> evidence = this->DueEvidence(now);
-  const std::string bytes = this->NextMessage(evidence);
+  const bool to_new_peer = std::exchange(this->has_new_peer, false);
+  std::vector<gateway::PartEvidence> evidence = this->DueEvidence(to_new_peer, now);
+  const std::string bytes = this->NextMessage(evidence, this->DueLimits(to_new_peer, now));
   if (!evidence.empty() && !this->group_is_fleet) {
     this->SendToOtherGroups(std::move(evidence));
   }
@@ -236,9 +254,11 @@
   this->gateway.registry.RecordPeerSuspects(message.unreachable_endpoints, net::Now());
   this->gateway.registry.Outliers().SetPeerReport(message.name, message.failures);
   this->RecordLeaving(message);
+  this->RecordLimits(message);
   this->gateway.quarantine.Merge(message.parts, net::Now());
   this->gateway.evidence_loaded = this->gateway.evidence_loaded || !message.parts.empty();
   message.parts.clear();
+  message.limits = {};
   this->peers[sender] = {std::move(message), net::Now()};
   this->gateway.admission.Dispatch();
 }
@@ -265,6 +285,15 @@
   }
 }
 
+void PeerExchange::RecordLimits(const PeerMessage& message) {
+  const std::vector<gateway::EndpointLimits::Change> changes =
+      this->gateway.registry.Limits().Merge(message.name, message.incarnation, message.is_leaving,
+                                            message.limits, net::Now());
+  for (const auto& [incarnation, change] : changes) {
+    gateway::ReportLimitChange(this->gateway, incarnation, change, "peer");
+  }
+}
+
 void PeerExchange::Expire() {
   const net::SteadyTime now = net::Now();
   std::erase_if(this->peers, [&](const auto& item) {
--- a/src/peers/internal/peer_message.cc
+++ b/src/peers/internal/peer_message.cc
@@ -1,5 +1,7 @@
 #include "peers/types/peer_message.h"
 
+#include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace lentilhead::peers {
@@ -11,6 +13,9 @@
 constexpr std::size_t kMinFields = 12;
 constexpr std::size_t kLeavingField = 12;  // sent only if needed: older nodes reject it
 constexpr std::size_t kPartsField = 13;    // sent only if needed
+constexpr std::size_t kLimitsField = 14;   // sent only if needed
+constexpr std::size_t kLimitFields = 7;
+constexpr double kLimitUnit = 0.001;  // requests per second
 constexpr std::size_t kPartHeadFields = 5;
 constexpr std::size_t kPartEndFields = 4;
 constexpr std::int64_t kNoAnswer = -1;
@@ -82,6 +87,49 @@
   return parts;
 }
 
+json EncodeLimits(const gateway::LimitReport& limits) {
+  json endpoints = json::array();
+  for (const gateway::EndpointLimitReport& endpoint : limits.endpoints) {
+    endpoints.push_back(endpoint.incarnation);
+    endpoints.push_back(std::llround(endpoint.limit / kLimitUnit));
+    endpoints.push_back(endpoint.sent);
+    endpoints.push_back(endpoint.namings);
+    endpoints.push_back(endpoint.unnamed);
+    endpoints.push_back(endpoint.named_age.count());
+    endpoints.push_back(endpoint.known_age.count());
+  }
+  return {EncodeCounts(limits.demand), limits.batch_work, std::move(endpoints)};
+}
+
+/// Returns a duration of at least 0.
+std::chrono::milliseconds DecodeAge(const json& field) {
+  return std::chrono::milliseconds(std::max<std::int64_t>(0, field.get<std::int64_t>()));
+}
+
+/// Decodes limits; throws json::exception if a field has another type. @return false if fields are
+/// missing.
+bool DecodeLimits(const json& fields, gateway::LimitReport& limits) {
+  const json& endpoints = fields.at(2);
+  if (!DecodeCounts(fields.at(0), limits.demand) || !endpoints.is_array() ||
+      endpoints.size() % kLimitFields != 0) {
+    return false;
+  }
+  fields.at(1).get_to(limits.batch_work);
+  limits.endpoints.clear();
+  for (std::size_t index = 0; index < endpoints.size(); index += kLimitFields) {
+    gateway::EndpointLimitReport endpoint;
+    endpoints[index].get_to(endpoint.incarnation);
+    endpoint.limit = std::max(0.0, endpoints[index + 1].get<double>() * kLimitUnit);
+    endpoints[index + 2].get_to(endpoint.sent);
+    endpoints[index + 3].get_to(endpoint.namings);
+    endpoints[index + 4].get_to(endpoint.unnamed);
+    endpoint.named_age = DecodeAge(endpoints[index + 5]);
+    endpoint.known_age = DecodeAge(endpoints[index + 6]);
+    limits.endpoints.push_back(endpoint);
+  }
+  return true;
+}
+
 std::string ToDatagram(const json& fields) {
   const std::vector<std::uint8_t> bytes = json::to_msgpack(fields);
   return {bytes.begin(), bytes.end()};
@@ -108,12 +156,17 @@
                  message.failures.zone,
                  EncodeCounts(message.failures.attempts),
                  EncodeCounts(message.failures.failures)};
-  if (!message.leaving_endpoints.empty() || !message.parts.empty()) {
+  const bool has_limits = !message.limits.IsEmpty();
+  const bool has_parts = !message.parts.empty() || has_limits;
+  if (!message.leaving_endpoints.empty() || has_parts) {
     fields.push_back(message.leaving_endpoints);
   }
-  if (!message.parts.empty()) {
+  if (has_parts) {
     fields.push_back(EncodeParts(message.parts));
   }
+  if (has_limits) {
+    fields.push_back(EncodeLimits(message.limits));
+  }
   return ToDatagram(fields);
 }
 
@@ -163,6 +216,10 @@
     if (fields.size() > kPartsField) {
       message.parts = DecodeParts(fields[kPartsField]);
     }
+    message.limits = {};
+    if (fields.size() > kLimitsField && !DecodeLimits(fields[kLimitsField], message.limits)) {
+      return false;
+    }
     message.loads.clear();
     for (std::size_t index = 0; index < fields[6].size(); index += 3) {
       message.loads.push_back({fields[6][index].get<std::uint32_t>(),
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -89,15 +89,22 @@
 
   void Handle(const std::string& bytes, const Address& sender);
   void RecordLeaving(const PeerMessage& message);
+  void RecordLimits(const PeerMessage& message);
   void NotePeer(const PeerMessage& message, const Address& sender);
   /// Returns the evidence on parts of prompts, if it has changed or is to be repeated.
-  [[nodiscard]] std::vector<gateway::PartEvidence> DueEvidence(net::SteadyTime now);
+  /// @param to_new_peer a peer was found since the last message.
+  [[nodiscard]] std::vector<gateway::PartEvidence> DueEvidence(bool to_new_peer,
+                                                               net::SteadyTime now);
+  /// Returns what peers are to know of the limits that endpoints name.
+  /// @param to_new_peer a peer was found since the last message.
+  [[nodiscard]] gateway::LimitReport DueLimits(bool to_new_peer, net::SteadyTime now);
   /// Sends evidence to a few nodes of other groups, which pass it on.
   void SendToOtherGroups(std::vector<gateway::PartEvidence> evidence);
   void Expire();
   void SendToAll();
   void SendToYieldingPeers();
-  [[nodiscard]] std::string NextMessage(std::vector<gateway::PartEvidence> evidence = {});
+  [[nodiscard]] std::string NextMessage(std::vector<gateway::PartEvidence> evidence = {},
+                                        gateway::LimitReport limits = {});
   void SendTo(const Address& address, const std::string& bytes);
   [[nodiscard]] std::chrono::milliseconds Period() const;
   /// Returns when the next message is due.
@@ -120,9 +127,10 @@
   net::SteadyTime last_sent;
   net::SteadyTime last_probe;
   net::SteadyTime evidence_sent;
+  net::SteadyTime recent_limits_sent;
   std::uint64_t evidence_version = 0;  ///< sent last
   bool has_new_candidate = false;      ///< since all were messaged last
-  bool has_new_peer = false;           ///< since the evidence was sent last
+  bool has_new_peer = false;           ///< since the last message to all
   std::set<Address> candidates;
   std::set<Address> group;  ///< empty while the group is not known: then all candidates
   bool group_is_fleet = true;
--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -45,6 +45,37 @@
   CHECK(read.leaving_endpoints.empty());
 }
 
+TEST_CASE("limits are decoded as they were encoded, and take few bytes") {
+  PeerMessage message{"node", "node#1", 7, 12, 530, false, false, {}, {{99, 2, 1}}, {}, {}, {}, {}};
+  const std::size_t before = Encode(message).size();
+  gateway::EndpointLimitReport endpoint;
+  endpoint.incarnation = 0xfedcba98;
+  endpoint.limit = 2.4;
+  endpoint.sent = 300;
+  endpoint.namings = 200;
+  endpoint.unnamed = 2;
+  endpoint.named_age = std::chrono::milliseconds(1500);
+  endpoint.known_age = std::chrono::milliseconds(40);
+  message.limits = {{{5, 123}}, {5}, {endpoint}};
+  CHECK(Encode(message).size() - before <= 60);
+  PeerMessage read;
+  REQUIRE(Decode(Encode(message), read));
+  CHECK(read.limits.demand.at(0).tenths == 123);
+  CHECK(read.limits.batch_work == std::vector<std::uint32_t>{5});
+  REQUIRE(read.limits.endpoints.size() == 1);
+  const gateway::EndpointLimitReport& decoded = read.limits.endpoints[0];
+  CHECK(decoded.incarnation == endpoint.incarnation);
+  CHECK(decoded.limit == doctest::Approx(2.4));
+  CHECK(decoded.sent == 300);
+  CHECK(decoded.namings == 200);
+  CHECK(decoded.unnamed == 2);
+  CHECK(decoded.named_age == endpoint.named_age);
+  CHECK(decoded.known_age == endpoint.known_age);
+  message.limits = {};
+  REQUIRE(Decode(Encode(message), read));
+  CHECK(read.limits.IsEmpty());
+}
+
 TEST_CASE("evidence on parts is decoded as it was encoded") {
   gateway::PartEvidence part;
   part.part = 0xfedcba9876543210;
--- a/src/peers/types/peer_message.h
+++ b/src/peers/types/peer_message.h
@@ -6,6 +6,7 @@
 
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/failure_report.h"
+#include "gateway/types/limit_report.h"
 #include "gateway/types/part_evidence.h"
 
 namespace lentilhead::peers {
@@ -26,6 +27,7 @@
   /// Incarnations of endpoints that told the node that they are leaving.
   std::vector<std::uint32_t> leaving_endpoints;
   std::vector<gateway::PartEvidence> parts;  ///< under which endpoints ended
+  gateway::LimitReport limits;               ///< on requests, which endpoints name
 };
 
 /// Encodes a message as a datagram.
