--- a/src/gateway/endpoint_limits.h
+++ b/src/gateway/endpoint_limits.h
@@ -104,6 +104,9 @@
   /// @return the limits that ended.
   std::vector<Change> Prune(net::SteadyTime now);
 
+  /// Incarnations of the endpoints that name a limit.
+  [[nodiscard]] std::vector<std::uint32_t> Limited() const;
+
   /// Number of endpoints that name a limit.
   [[nodiscard]] std::size_t LimitedCount() const;
 
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -8,6 +8,7 @@
 
 #include "gateway/endpoint_limits.h"
 #include "gateway/outlier_detector.h"
+#include "gateway/outside_limits.h"
 #include "gateway/placement.h"
 #include "gateway/types/choice.h"
 #include "gateway/types/choice_request.h"
@@ -63,6 +64,13 @@
   /// The limits that endpoints name on the requests of all nodes together.
   [[nodiscard]] EndpointLimits& Limits() { return this->limits; }
 
+  /// The endpoints of other groups that name limits.
+  [[nodiscard]] OutsideLimits& LimitsOfOthers() { return this->outside_limits; }
+
+  /// Records what an answer says of a limit. @param sent_at time at which the request was sent.
+  LimitChange RecordLimit(const EndpointState& state, const LimitNotice& notice,
+                          net::SteadyTime sent_at, net::SteadyTime now);
+
   /// Expected time until the limits of a service's endpoints allow one more request of this node.
   /// @param waiting requests that wait before it.
   /// @return no value if an endpoint that may be chosen names no limit.
@@ -136,6 +144,7 @@
   std::string zone;
   OutlierDetector outliers;
   EndpointLimits limits;
+  OutsideLimits outside_limits;
   std::chrono::milliseconds peer_load_age{0};
   bool has_whole_group = true;  ///< the group uses all endpoints
   std::uint64_t list_version = 0;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -268,8 +268,8 @@
     return;
   }
   const std::uint32_t incarnation = this->endpoint->incarnation;
-  const LimitChange change = this->gateway.registry.Limits().RecordAnswer(
-      incarnation, answer.limit, this->connection->sent_at, net::Now());
+  const LimitChange change = this->gateway.registry.RecordLimit(
+      *this->endpoint, answer.limit, this->connection->sent_at, net::Now());
   ReportLimitChange(this->gateway, incarnation, change, "answer");
 }
 
--- a/src/gateway/internal/endpoint_limits.cc
+++ b/src/gateway/internal/endpoint_limits.cc
@@ -79,6 +79,16 @@
   return this->LimitOf(incarnation) > 0;
 }
 
+std::vector<std::uint32_t> EndpointLimits::Limited() const {
+  std::vector<std::uint32_t> limited;
+  for (const auto& [incarnation, entry] : this->entries) {
+    if (entry.limit.IsActive()) {
+      limited.push_back(incarnation);
+    }
+  }
+  return limited;
+}
+
 std::size_t EndpointLimits::LimitedCount() const {
   return static_cast<std::size_t>(
       std::count_if(this->entries.begin(), this->entries.end(),
@@ -127,6 +137,9 @@
 }
 
 void EndpointLimits::UpdateShares(net::SteadyTime now) {
+  if (this->entries.empty()) {
+    return;
+  }
   const double heard = this->HeardShare(now);
   for (auto& [incarnation, entry] : this->entries) {
     entry.limit.SetShare(heard / this->SharedBy(incarnation), now);
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -138,10 +138,14 @@
     state->in_group = selected != group.shared_by.end();
     state->shared_by = state->in_group ? selected->second : 1;
     this->limits.SetSharedBy(state->incarnation, state->shared_by);
+    if (!state->in_group) {
+      this->limits.Forget(state->incarnation);
+    }
   }
 }
 
 void EndpointRegistry::Prune(net::SteadyTime now) {
+  this->outside_limits.Prune(now);
   std::erase_if(this->endpoints, [&](const auto& item) {
     const EndpointState& state = *item.second;
     const milliseconds memory = state.is_leaving ? kLeavingMemory : milliseconds(0);
@@ -210,11 +214,21 @@
                                      net::SteadyTime now) const {
   if (!state.in_group) {
     // The nodes of the endpoint's group use the whole limit.
-    return !this->limits.IsLimited(state.incarnation);
+    return this->outside_limits.MayTry(now) &&
+           !this->outside_limits.IsLimited(state.incarnation, now);
   }
   return this->limits.MaySend(state.incarnation, HashKey(request.service), request.work, now);
 }
 
+LimitChange EndpointRegistry::RecordLimit(const EndpointState& state, const LimitNotice& notice,
+                                          net::SteadyTime sent_at, net::SteadyTime now) {
+  if (!state.in_group) {
+    this->outside_limits.RecordAnswer(state.incarnation, notice, now);
+    return LimitChange::kNone;
+  }
+  return this->limits.RecordAnswer(state.incarnation, notice, sent_at, now);
+}
+
 std::optional<milliseconds> EndpointRegistry::PermitWait(const ChoiceRequest& request,
                                                          std::size_t waiting,
                                                          net::SteadyTime now) const {
--- a/src/gateway/tests/endpoint_registry_test.cc
+++ b/src/gateway/tests/endpoint_registry_test.cc
@@ -37,6 +37,18 @@
   CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "two");
 }
 
+TEST_CASE("an endpoint of another group that names a limit is left alone") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("own"));
+  registry.Put(Entry("other"));
+  registry.SetGroup({{{"own", 1}}, false});
+  StateOf(registry, "own").own_online = 6;
+  CHECK(registry.Choose(Online(), kStart).endpoint->entry.id == "other");
+  registry.LimitsOfOthers().Merge({{StateOf(registry, "other").incarnation, milliseconds(0)}},
+                                  kStart);
+  CHECK(registry.Choose(Online(), kStart).reason == NoChoice::kAllFull);
+}
+
 TEST_CASE("the own zone only breaks ties") {
   EndpointRegistry registry("b");
   registry.Put(Entry("far", 4, "a"));
--- a/src/gateway/tests/limit_simulation.cc
+++ b/src/gateway/tests/limit_simulation.cc
@@ -25,6 +25,7 @@
 constexpr std::uint32_t kService = 7;
 constexpr std::size_t kSingleGroup = 24;
 constexpr std::size_t kGroup = 16;
+constexpr int kOtherGroupNodes = 4;
 
 }  // namespace
 
@@ -69,6 +70,7 @@
             EndpointLimits(static_cast<std::uint32_t>(this->random())),
             {},
             {},
+            {},
             {}};
   node.limits.SetNewsDelay(this->MessagePeriod() + milliseconds(24));
   return node;
@@ -79,7 +81,7 @@
 std::vector<std::size_t> LimitSimulation::EndpointsOf(std::size_t group) const {
   std::vector<std::size_t> own;
   for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
-    if (this->endpoints.size() < 2 * this->groups || index % this->groups == group) {
+    if (this->IsShared() || index % this->groups == group) {
       own.push_back(index);
     }
   }
@@ -106,10 +108,9 @@
   const std::vector<std::size_t> own = this->EndpointsOf(this->GroupOf(node));
   std::vector<std::size_t> limited;
   std::vector<std::size_t> others;
-  const bool is_shared = this->endpoints.size() < 2 * this->groups;
   for (const std::size_t index : own) {
     const std::uint32_t incarnation = this->endpoints[index].incarnation;
-    if (is_shared) {
+    if (this->IsShared()) {
       sender.limits.SetSharedBy(incarnation, static_cast<int>(this->groups));
     }
     if (!sender.limits.IsLimited(incarnation)) {
@@ -118,7 +119,10 @@
       limited.push_back(index);
     }
   }
-  const std::vector<std::size_t>& usable = limited.empty() ? others : limited;
+  std::vector<std::size_t>& usable = limited.empty() ? others : limited;
+  if (const auto outside = usable.empty() ? this->OutsideEndpoint(node) : std::nullopt) {
+    usable.push_back(*outside);
+  }
   if (usable.empty()) {
     if (this->now + kRetryPeriod > until) {
       ++this->result.refused;
@@ -152,9 +156,46 @@
   if (sender.start != start) {
     return;
   }
-  sender.limits.RecordAnswer(answering.incarnation,
-                             names ? LimitNotice(LimitNamed{this->setup.limit}) : NoLimitNamed{},
-                             sent_at, this->now);
+  const LimitNotice notice =
+      names ? LimitNotice(LimitNamed{this->setup.limit}) : LimitNotice(NoLimitNamed{});
+  if (this->IsShared() || endpoint % this->groups == this->GroupOf(node)) {
+    sender.limits.RecordAnswer(answering.incarnation, notice, sent_at, this->now);
+  } else {
+    sender.outside.RecordAnswer(answering.incarnation, notice, this->now);
+  }
+}
+
+std::optional<std::size_t> LimitSimulation::OutsideEndpoint(std::size_t node) {
+  if (this->groups == 1 || this->IsShared() || !this->nodes[node].outside.MayTry(this->now)) {
+    return std::nullopt;
+  }
+  std::vector<std::size_t> usable;
+  for (std::size_t index = 0; index < this->endpoints.size(); ++index) {
+    const bool is_own = index % this->groups == this->GroupOf(node);
+    if (!is_own &&
+        !this->nodes[node].outside.IsLimited(this->endpoints[index].incarnation, this->now)) {
+      usable.push_back(index);
+    }
+  }
+  if (usable.empty()) {
+    return std::nullopt;
+  }
+  return usable[static_cast<std::size_t>(this->Draw(static_cast<int>(usable.size())))];
+}
+
+void LimitSimulation::SendToOtherGroups(std::size_t node) {
+  const Node& sender = this->nodes[node];
+  const std::vector<OutsideLimit> facts = sender.outside.Facts(
+      sender.limits.Limited(), static_cast<std::size_t>(this->Draw(1 << 20)), this->now);
+  for (int count = 0; count < kOtherGroupNodes && !facts.empty();) {
+    const auto other = static_cast<std::size_t>(this->Draw(this->setup.nodes));
+    if (this->GroupOf(other) == this->GroupOf(node)) {
+      continue;
+    }
+    ++count;
+    this->At(kTransit,
+             [this, other, facts] { this->nodes[other].outside.Merge(facts, this->now); });
+  }
 }
 
 void LimitSimulation::SendMessages(std::size_t node) {
@@ -175,6 +216,9 @@
   sender.limits.NoteReportSent(this->now);
   if (is_recent_due) {
     sender.recent_sent = this->now;
+    if (this->groups > 1) {
+      this->SendToOtherGroups(node);
+    }
   }
   for (std::size_t other = 0; other < this->nodes.size(); ++other) {
     const bool is_lost = this->DrawFraction() < this->setup.message_loss;
--- a/src/gateway/tests/limit_simulation.h
+++ b/src/gateway/tests/limit_simulation.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "gateway/endpoint_limits.h"
+#include "gateway/outside_limits.h"
 
 namespace lentilhead::gateway::tests {
 
@@ -60,6 +61,7 @@
     std::string name;
     std::string start;
     EndpointLimits limits;
+    OutsideLimits outside;
     net::SteadyTime frozen_until;
     net::SteadyTime cut_until;
     net::SteadyTime recent_sent;
@@ -73,6 +75,10 @@
   void Answer(std::size_t node, std::size_t endpoint, const std::string& start,
               net::SteadyTime sent_at);
   void SendMessages(std::size_t node);
+  void SendToOtherGroups(std::size_t node);
+  /// Returns an endpoint of another group that the node may use, if it finds one.
+  [[nodiscard]] std::optional<std::size_t> OutsideEndpoint(std::size_t node);
+  [[nodiscard]] bool IsShared() const { return this->endpoints.size() < 2 * this->groups; }
   void StartTrouble();
   [[nodiscard]] std::size_t GroupOf(std::size_t node) const;
   [[nodiscard]] std::vector<std::size_t> EndpointsOf(std::size_t group) const;
--- a/src/gateway/tests/limit_simulation_test.cc
+++ b/src/gateway/tests/limit_simulation_test.cc
@@ -107,6 +107,10 @@
   CheckKept(AllLimited(100, 6, 5, 300), true, 2);
 }
 
+TEST_CASE("nodes leave the limited endpoints of other groups alone when their own are full") {
+  CheckKept(AllLimited(100, 200, 0.2, 600), false, 2);
+}
+
 TEST_CASE("the largest fleet keeps to the limits of all its endpoints and uses them") {
   LimitSimulationSetup setup = AllLimited(350, 740, 2, 2500);
   setup.duration = milliseconds(10000);
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -142,14 +142,25 @@
   return this->gateway.quarantine.Evidence(now);
 }
 
-void PeerExchange::SendToOtherGroups(std::vector<gateway::PartEvidence> evidence) {
+std::vector<gateway::OutsideLimit> PeerExchange::DueOutsideLimits(net::SteadyTime now) {
+  if (this->group_is_fleet || now - this->outside_limits_sent < kLimitsPeriod) {
+    return {};
+  }
+  this->outside_limits_sent = now;
+  gateway::EndpointRegistry& registry = this->gateway.registry;
+  constexpr std::size_t kAnyFirst = 1U << 20U;
+  return registry.LimitsOfOthers().Facts(registry.Limits().Limited(), net::RandomBelow(kAnyFirst),
+                                         now);
+}
+
+void PeerExchange::SendToOtherGroups(OtherGroupMessage message) {
   std::vector<Address> others;
   for (const Address& address : this->candidates) {
     if (!this->group.contains(address)) {
       others.push_back(address);
     }
   }
-  const std::string bytes = Encode(EvidenceMessage{this->incarnation, std::move(evidence)});
+  const std::string bytes = Encode(message);
   for (std::size_t sent = 0; sent < kOtherGroupNodes && !others.empty(); ++sent) {
     const std::size_t pick = net::RandomBelow(others.size());
     this->SendTo(others[pick], bytes);
@@ -172,8 +183,9 @@
   const bool to_new_peer = std::exchange(this->has_new_peer, false);
   std::vector<gateway::PartEvidence> evidence = this->DueEvidence(to_new_peer, now);
   const std::string bytes = this->NextMessage(evidence, this->DueLimits(to_new_peer, now));
-  if (!evidence.empty() && !this->group_is_fleet) {
-    this->SendToOtherGroups(std::move(evidence));
+  OtherGroupMessage outside{this->incarnation, std::move(evidence), this->DueOutsideLimits(now)};
+  if (!this->group_is_fleet && !(outside.parts.empty() && outside.limits.empty())) {
+    this->SendToOtherGroups(std::move(outside));
   }
   for (const Address& address : this->candidates) {
     const bool in_group = this->group.empty() || this->group.contains(address);
@@ -230,10 +242,11 @@
 }
 
 void PeerExchange::Handle(const std::string& bytes, const Address& sender) {
-  EvidenceMessage evidence;
+  OtherGroupMessage evidence;
   if (Decode(bytes, evidence)) {
     this->AddCandidate(sender);
     this->gateway.quarantine.Merge(evidence.parts, net::Now());
+    this->gateway.registry.LimitsOfOthers().Merge(evidence.limits, net::Now());
     return;
   }
   PeerMessage message;
--- a/src/peers/internal/peer_message.cc
+++ b/src/peers/internal/peer_message.cc
@@ -20,7 +20,8 @@
 constexpr std::size_t kPartEndFields = 4;
 constexpr std::int64_t kNoAnswer = -1;
 constexpr char kEvidenceName[] = "parts";
-constexpr std::size_t kEvidenceFields = 3;
+constexpr std::size_t kEvidenceFields = 3;  // the limits follow, sent only if needed
+constexpr std::chrono::milliseconds kOutsideAgeUnit{100};
 
 json EncodeCounts(const std::vector<gateway::KeyedCount>& counts) {
   json fields = json::array();
@@ -170,18 +171,33 @@
   return ToDatagram(fields);
 }
 
-std::string Encode(const EvidenceMessage& message) {
-  return ToDatagram({kEvidenceName, message.incarnation, EncodeParts(message.parts)});
+std::string Encode(const OtherGroupMessage& message) {
+  json fields = {kEvidenceName, message.incarnation, EncodeParts(message.parts)};
+  if (!message.limits.empty()) {
+    json limits = json::array();
+    for (const gateway::OutsideLimit& limit : message.limits) {
+      limits.push_back(limit.incarnation);
+      limits.push_back(limit.age / kOutsideAgeUnit);
+    }
+    fields.push_back(std::move(limits));
+  }
+  return ToDatagram(fields);
 }
 
-bool Decode(const std::string& bytes, EvidenceMessage& message) {
+bool Decode(const std::string& bytes, OtherGroupMessage& message) {
   const json fields = json::from_msgpack(bytes, true, false);
-  if (!fields.is_array() || fields.size() != kEvidenceFields || fields[0] != kEvidenceName) {
+  if (!fields.is_array() || fields.size() < kEvidenceFields || fields[0] != kEvidenceName) {
     return false;
   }
   try {
     fields[1].get_to(message.incarnation);
     message.parts = DecodeParts(fields[2]);
+    message.limits.clear();
+    const json limits = fields.size() > kEvidenceFields ? fields[kEvidenceFields] : json::array();
+    for (std::size_t index = 0; index + 1 < limits.size(); index += 2) {
+      message.limits.push_back({limits[index].get<std::uint32_t>(),
+                                DecodeAge(limits[index + 1]) * kOutsideAgeUnit.count()});
+    }
   } catch (const json::exception&) {
     return false;  // a field has another type
   }
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -98,8 +98,10 @@
   /// Returns what peers are to know of the limits that endpoints name.
   /// @param to_new_peer a peer was found since the last message.
   [[nodiscard]] gateway::LimitReport DueLimits(bool to_new_peer, net::SteadyTime now);
-  /// Sends evidence to a few nodes of other groups, which pass it on.
-  void SendToOtherGroups(std::vector<gateway::PartEvidence> evidence);
+  /// Returns what nodes of other groups are to know of limits, if it is to be sent.
+  [[nodiscard]] std::vector<gateway::OutsideLimit> DueOutsideLimits(net::SteadyTime now);
+  /// Sends evidence and limits to a few nodes of other groups, which pass them on.
+  void SendToOtherGroups(OtherGroupMessage message);
   void Expire();
   void SendToAll();
   void SendToYieldingPeers();
@@ -128,6 +130,7 @@
   net::SteadyTime last_probe;
   net::SteadyTime evidence_sent;
   net::SteadyTime recent_limits_sent;
+  net::SteadyTime outside_limits_sent;
   std::uint64_t evidence_version = 0;  ///< sent last
   bool has_new_candidate = false;      ///< since all were messaged last
   bool has_new_peer = false;           ///< since the last message to all
--- a/src/peers/tests/peer_message_test.cc
+++ b/src/peers/tests/peer_message_test.cc
@@ -101,12 +101,12 @@
   PeerMessage read;
   REQUIRE(Decode(Encode(message), read));
   check(read.parts);
-  EvidenceMessage evidence;
-  REQUIRE(Decode(Encode(EvidenceMessage{"node#1", message.parts}), evidence));
+  OtherGroupMessage evidence;
+  REQUIRE(Decode(Encode(OtherGroupMessage{"node#1", message.parts}), evidence));
   CHECK(evidence.incarnation == "node#1");
   check(evidence.parts);
   CHECK_FALSE(Decode(Encode(message), evidence));
-  CHECK_FALSE(Decode(Encode(EvidenceMessage{"node#1", message.parts}), read));
+  CHECK_FALSE(Decode(Encode(OtherGroupMessage{"node#1", message.parts}), read));
 }
 
 TEST_CASE("a held part adds a bounded number of bytes to a message") {
--- a/src/peers/types/peer_message.h
+++ b/src/peers/types/peer_message.h
@@ -7,6 +7,7 @@
 #include "gateway/types/endpoint_load.h"
 #include "gateway/types/failure_report.h"
 #include "gateway/types/limit_report.h"
+#include "gateway/types/outside_limit.h"
 #include "gateway/types/part_evidence.h"
 
 namespace lentilhead::peers {
@@ -37,15 +38,16 @@
 [[nodiscard]] bool Decode(const std::string& bytes, PeerMessage& message);
 
 /// What a node tells a node of another group.
-struct EvidenceMessage {
+struct OtherGroupMessage {
   std::string incarnation;  ///< of the sender
   std::vector<gateway::PartEvidence> parts;
+  std::vector<gateway::OutsideLimit> limits;  ///< that endpoints name
 };
 
 /// Encodes a message for another group as a datagram.
-[[nodiscard]] std::string Encode(const EvidenceMessage& message);
+[[nodiscard]] std::string Encode(const OtherGroupMessage& message);
 
 /// Decodes a datagram. @return false if it is not such a message.
-[[nodiscard]] bool Decode(const std::string& bytes, EvidenceMessage& message);
+[[nodiscard]] bool Decode(const std::string& bytes, OtherGroupMessage& message);
 
 }  // namespace lentilhead::peers
