--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -14,8 +14,8 @@
  public:
   Admission(net::asio::any_io_executor executor, EndpointRegistry& registry);
 
-  /// Waits for a free slot at an endpoint. Does not wait if the limits that the endpoints name are
-  /// expected to allow the request only after `until`.
+  /// Waits for a free slot at an endpoint. A request that has not begun does not wait if the limits
+  /// that the endpoints name are expected to allow it only after `until`.
   /// @param priority priority of the request; 0 is the most urgent.
   /// @param until time at which the wait ends without a slot.
   /// @param cancel ends the wait early.
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -65,7 +65,9 @@
     }
   }
   const std::optional<milliseconds> permit_wait =
-      this->registry.PermitWait(request, this->Waiting(request.service), net::Now());
+      request.has_begun
+          ? std::nullopt
+          : this->registry.PermitWait(request, this->Waiting(request.service), net::Now());
   if (permit_wait && net::Now() + *permit_wait > until) {
     co_return AdmissionOutcome{EndpointLease(), NoChoice::kAllFull, permit_wait};
   }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -144,6 +144,7 @@
           ? this->routed.deadline
           : RefusalPolicy::WaitUntil(*this->routed.route, net::Now(), this->routed.deadline);
   ChoiceRequest choice{this->routed.service, this->tried, WorkClass::kOnline};
+  choice.has_begun = this->HasBegun();
   AdmissionOutcome admitted = co_await this->gateway.admission.Acquire(
       choice, this->routed.route->priority, until, this->cancel);
   const bool has_tried_all = admitted.reason == NoChoice::kNoUsable && !this->tried.empty();
--- a/src/gateway/tests/admission_test.cc
+++ b/src/gateway/tests/admission_test.cc
@@ -28,6 +28,7 @@
 
   asio::awaitable<void> Acquire(std::vector<std::string> excluded, AdmissionOutcome& outcome) {
     ChoiceRequest request{"svc", std::move(excluded), WorkClass::kOnline};
+    request.has_begun = this->has_begun;
     outcome = co_await this->admission.Acquire(std::move(request), 0,
                                                net::Now() + milliseconds(200), this->cancel);
   }
@@ -36,6 +37,7 @@
   EndpointRegistry registry{"a"};
   Admission admission{loop.get_executor(), registry};
   CancelScope cancel;
+  bool has_begun = false;  ///< of the requests
 };
 
 TEST_CASE("a request that limits allow too late is refused at once, with the time until then") {
@@ -53,6 +55,20 @@
   CHECK(refused.permit_wait->count() == doctest::Approx(1000).epsilon(0.01));
 }
 
+TEST_CASE("a request that has begun waits to its end though limits allow it too late") {
+  AdmissionFixture fixture;
+  fixture.has_begun = true;
+  for (const char* id : {"free", "full"}) {
+    fixture.registry.Limits().RecordAnswer(fixture.registry.All().at(id)->incarnation,
+                                           LimitNamed{0.5}, net::Now(), net::Now());
+  }
+  AdmissionOutcome waiting;
+  fixture.Request({}, waiting);
+  fixture.loop.run_for(milliseconds(50));
+  CHECK_FALSE(fixture.loop.stopped());
+  CHECK_FALSE(waiting.permit_wait);
+}
+
 TEST_CASE("a request that limits allow soon waits for it") {
   AdmissionFixture fixture;
   for (const char* id : {"free", "full"}) {
--- a/src/gateway/types/choice_request.h
+++ b/src/gateway/types/choice_request.h
@@ -14,6 +14,7 @@
       excluded;  ///< ids of endpoints not to choose, such as those already tried
   WorkClass work = WorkClass::kOnline;
   bool only_healthy = false;  ///< rather none than an endpoint that is suspected
+  bool has_begun = false;     ///< the caller has a part of the answer, or the request may have run
 };
 
 }  // namespace lentilhead::gateway
