--- a/src/gateway/internal/shared_limit.cc
+++ b/src/gateway/internal/shared_limit.cc
@@ -144,6 +144,10 @@
                                net::SteadyTime now) {
   const auto [found, is_first] = this->peers.try_emplace(peer);
   PeerPart& part = found->second;
+  const bool counts_anew = report.sent < part.sent || report.namings < part.namings;
+  if (counts_anew) {
+    part = {};
+  }
   const bool is_learning = is_first && now - this->created_at < kLearningTime;
   LimitChange change = LimitChange::kNone;
   const bool is_unknown = this->named_at == net::SteadyTime{};
--- a/src/gateway/tests/shared_limit_test.cc
+++ b/src/gateway/tests/shared_limit_test.cc
@@ -103,6 +103,21 @@
   CHECK(limit.IsActive());
 }
 
+TEST_CASE("the requests of a peer that forgot a limit and counts anew take tokens") {
+  SharedLimit limit = NamedLimit();
+  EndpointLimitReport report;
+  report.limit = 4;
+  report.sent = 300;
+  report.namings = 200;
+  report.known_age = seconds(60);
+  limit.Merge("b", report, kStart + seconds(60));
+  report.sent = 1;
+  report.namings = 1;
+  const net::SteadyTime now = kStart + seconds(90);
+  limit.Merge("b", report, now);
+  CHECK(limit.LevelAt(now) == doctest::Approx(limit.Capacity() - 1));
+}
+
 TEST_CASE("a late report of a naming does not name a limit anew that has ended") {
   SharedLimit limit = NamedLimit();
   const net::SteadyTime end = kStart + seconds(2);
