--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -264,7 +264,10 @@
 }
 
 void EndpointAttempt::RecordLimit(const EndpointAnswer& answer) {
-  if (answer.other_instance) {
+  // A refusal without a limit may come from a part of the endpoint that knows none.
+  const bool says_nothing =
+      answer.not_executed && std::holds_alternative<NoLimitNamed>(answer.limit);
+  if (answer.other_instance || says_nothing) {
     return;
   }
   const std::uint32_t incarnation = this->endpoint->incarnation;
