--- a/src/gateway/internal/shared_limit.cc
+++ b/src/gateway/internal/shared_limit.cc
@@ -71,7 +71,7 @@
     part.unnamed = 0;
   }
   if (before == 0) {
-    this->level = std::min(this->level, 0.0);
+    this->level = 0;
     return LimitChange::kNamed;
   }
   this->level = std::min(this->level, std::max(this->Capacity(), kTrialTokens));
--- a/src/gateway/tests/shared_limit_test.cc
+++ b/src/gateway/tests/shared_limit_test.cc
@@ -148,6 +148,19 @@
   CHECK(limit.LevelAt(kStart + seconds(6)) == left);
 }
 
+TEST_CASE("a limit that is named again begins with nothing and owes nothing") {
+  SharedLimit limit(kStart);
+  limit.RecordNamed(0.2, kStart, kStart);
+  for (int request = 0; request < 4; ++request) {
+    limit.RecordSent(kStart);
+    limit.RecordUnnamed(kStart + seconds(1), kStart + seconds(1));
+  }
+  REQUIRE_FALSE(limit.IsActive());
+  const net::SteadyTime again = kStart + seconds(10);
+  limit.RecordNamed(0.2, again, again);
+  CHECK(limit.LevelAt(again) == 0);
+}
+
 TEST_CASE("an endpoint that takes nothing is asked now and then") {
   SharedLimit limit(kStart);
   limit.RecordNamed(0, kStart, kStart);
