--- a/src/gateway/internal/shared_limit.cc
+++ b/src/gateway/internal/shared_limit.cc
@@ -22,6 +22,7 @@
 constexpr milliseconds kMinEndDelay{300};
 // An endpoint that takes nothing is asked now and then whether that has changed.
 constexpr double kMinLimit = 0.05;
+constexpr double kMaxLimit = 1e6;   // beyond any endpoint; bounds the numbers in messages
 constexpr double kTrialTokens = 3;  // with the first answer, kEndAnswers
 // Between two of these, doubled after each one that was followed by another naming.
 constexpr milliseconds kMinTrialPause{4000};
@@ -61,7 +62,7 @@
 }
 
 LimitChange SharedLimit::Name(double named, net::SteadyTime at, net::SteadyTime now) {
-  named = std::max(named, kMinLimit);
+  named = std::clamp(named, kMinLimit, kMaxLimit);
   this->Advance(now);
   this->failed_trials += std::exchange(this->is_in_trial, false) ? 1 : 0;
   const double before = std::exchange(this->limit, named);
--- a/src/gateway/tests/shared_limit_test.cc
+++ b/src/gateway/tests/shared_limit_test.cc
@@ -161,6 +161,12 @@
   CHECK(limit.LevelAt(again) == 0);
 }
 
+TEST_CASE("a limit that no endpoint can reach is bounded") {
+  SharedLimit limit(kStart);
+  limit.RecordNamed(1e300, kStart, kStart);
+  CHECK(limit.Limit() <= 1e6);
+}
+
 TEST_CASE("an endpoint that takes nothing is asked now and then") {
   SharedLimit limit(kStart);
   limit.RecordNamed(0, kStart, kStart);
