--- a/src/gateway/endpoint_limits.h
+++ b/src/gateway/endpoint_limits.h
@@ -8,8 +8,8 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/fleet_demand.h"
 #include "gateway/shared_limit.h"
-#include "gateway/types/decaying_count.h"
 #include "gateway/types/limit_change.h"
 #include "gateway/types/limit_notice.h"
 #include "gateway/types/limit_report.h"
@@ -21,9 +21,9 @@
 ///
 /// A limit may be far below one request per node and second, so that equal shares would lie idle at
 /// most nodes. Instead each node may take what is left in the SharedLimit of the endpoint, with a
-/// probability at which all nodes that have requests in the same moment take it once on average.
-/// A node that does not hear the others takes only the share of the limit that it had before, and
-/// the others leave that share to it.
+/// probability at which all nodes that have requests in the same moment together take most of it on
+/// average. A node that does not hear the others takes only the share of the limit that it had
+/// before, and the others leave that share to it.
 ///
 /// Reads no clock and does no I/O.
 class EndpointLimits {
@@ -64,13 +64,8 @@
   /// Records that a request is sent to an endpoint.
   void RecordSent(std::uint32_t incarnation, net::SteadyTime now);
 
-  /// Records an online request for a service. @param service key of its name.
-  void RecordDemand(std::uint32_t service, net::SteadyTime now);
-
-  /// Records that batch items wait for a service. @param service key of its name.
-  void RecordBatchWork(std::uint32_t service, net::SteadyTime now) {
-    this->batch_work[service] = now;
-  }
+  /// What this node and its peers have to send.
+  [[nodiscard]] FleetDemand& Demand() { return this->demand; }
 
   /// Whether an endpoint names a limit.
   [[nodiscard]] bool IsLimited(std::uint32_t incarnation) const;
@@ -120,18 +115,6 @@
     std::uint64_t period = 0;  ///< of `taken`
     int taken = 0;             ///< requests of this node in that period
   };
-  /// What a peer reported last.
-  struct Peer {
-    std::string start;
-    net::SteadyTime heard_at;
-    bool is_leaving = false;
-    std::map<std::uint32_t, double> demand;  ///< requests per second, by service
-    std::vector<std::uint32_t> batch_work;
-
-    /// Part of the peer in the demand of all nodes.
-    [[nodiscard]] double Weight() const;
-  };
-
   LimitChange RecordNamed(std::uint32_t incarnation, double limit, net::SteadyTime sent_at,
                           net::SteadyTime now);
   LimitChange RecordUnnamed(std::uint32_t incarnation, net::SteadyTime sent_at,
@@ -140,19 +123,7 @@
   [[nodiscard]] const SharedLimit* Find(std::uint32_t incarnation) const;
   [[nodiscard]] std::uint64_t PeriodAt(net::SteadyTime now) const;
   Entry& EntryOf(std::uint32_t incarnation, net::SteadyTime now);
-  [[nodiscard]] static bool IsHeard(const Peer& peer, net::SteadyTime now);
-  /// Share of the fleet's demand of the nodes that this one hears, including itself.
-  [[nodiscard]] double HeardShare(net::SteadyTime now) const;
   void UpdateShares(net::SteadyTime now);
-  [[nodiscard]] double OwnDemand(std::uint32_t service, net::SteadyTime now) const;
-  /// Own share of the online demand for a service among the nodes that are heard.
-  [[nodiscard]] double DemandShare(std::uint32_t service, net::SteadyTime now) const;
-  /// Share of what is left that this node may take in a period in which it has requests.
-  [[nodiscard]] double OnlineTurn(std::uint32_t service, net::SteadyTime now) const;
-  [[nodiscard]] double BatchTurn(std::uint32_t service, net::SteadyTime now) const;
-  [[nodiscard]] double OwnWeight(net::SteadyTime now) const;
-  /// Services for which this node has batch items waiting.
-  [[nodiscard]] std::vector<std::uint32_t> BatchWork(net::SteadyTime now) const;
   /// Number of groups that use an endpoint.
   [[nodiscard]] int SharedBy(std::uint32_t incarnation) const;
 
@@ -161,9 +132,7 @@
   std::chrono::milliseconds period{50};
   std::map<std::uint32_t, Entry> entries;  ///< by incarnation of the endpoint
   std::map<std::uint32_t, int> shared_by;  ///< by incarnation; 1 for others
-  std::map<std::string, Peer> peers;
-  std::map<std::uint32_t, DecayingCount> demand;        ///< by service
-  std::map<std::uint32_t, net::SteadyTime> batch_work;  ///< last time, by service
+  FleetDemand demand;
   net::SteadyTime reported_at;
 };
 
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -57,7 +57,7 @@
 
 awaitable<AdmissionOutcome> Admission::Acquire(ChoiceRequest request, int priority,
                                                net::SteadyTime until, CancelScope& cancel) {
-  this->registry.Limits().RecordDemand(HashKey(request.service), net::Now());
+  this->registry.Limits().Demand().RecordRequest(HashKey(request.service), net::Now());
   if (!this->HasQueue(request.service)) {
     AdmissionOutcome outcome = this->TryAcquire(request);
     if (outcome.reason != NoChoice::kAllFull) {
--- a/src/gateway/internal/endpoint_limits.cc
+++ b/src/gateway/internal/endpoint_limits.cc
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <numbers>
-#include <numeric>
 
 namespace lentilhead::gateway {
 
@@ -14,29 +12,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr double kTenths = 10;
 constexpr milliseconds kMinPeriod{40};
-// Nodes that are heard send a message every 300 ms at least; one of these may be lost.
-constexpr milliseconds kSilentPeer{700};
-// A node that is silent for longer is gone, and its share is free.
-constexpr milliseconds kPeerMemory{30000};
-constexpr milliseconds kBatchWorkLifetime{1000};
 constexpr milliseconds kRecentChanges{3000};
 // A limit that ended is kept for this time, so that late reports do not name it anew.
 constexpr milliseconds kEndedMemory{30000};
 constexpr std::chrono::minutes kUnusedMemory{10};  // of a limit that no node asks for
-constexpr double kBatchWorkWeight = 1;             // demand of a node that has batch items waiting
-constexpr double kMinDemand = 0.05;                // of a node that has asked at least once
-constexpr double kNoDemandWeight = 0.01;
 // Share of what is left that all nodes together take in a period, on average. With more of it the
 // requests that several nodes send in the same moment exceed the limit more often.
 constexpr double kTakenPerPeriod = 0.6;
 
-double RateOf(double decaying_count) {
-  return decaying_count * std::numbers::ln2 /
-         std::chrono::duration<double>(DecayingCount::kHalfLife).count();
-}
-
 /// Returns a number of at least 0 and below 1 that is the same for the same values.
 double Draw(const std::array<std::uint64_t, 4>& values) {
   constexpr double kRange = 4294967296.0;
@@ -45,14 +29,6 @@
 
 }  // namespace
 
-double EndpointLimits::Peer::Weight() const {
-  double weight = this->batch_work.empty() ? kNoDemandWeight : kBatchWorkWeight;
-  for (const auto& [service, rate] : this->demand) {
-    weight += rate;
-  }
-  return weight;
-}
-
 void EndpointLimits::SetNewsDelay(milliseconds delay) {
   this->period = std::max(kMinPeriod, delay);
 }
@@ -105,79 +81,16 @@
   this->shared_by.erase(incarnation);
 }
 
-bool EndpointLimits::IsHeard(const Peer& peer, net::SteadyTime now) {
-  return now - peer.heard_at < kSilentPeer;
-}
-
-std::vector<std::uint32_t> EndpointLimits::BatchWork(net::SteadyTime now) const {
-  std::vector<std::uint32_t> services;
-  for (const auto& [service, time] : this->batch_work) {
-    if (now - time < kBatchWorkLifetime) {
-      services.push_back(service);
-    }
-  }
-  return services;
-}
-
-double EndpointLimits::OwnWeight(net::SteadyTime now) const {
-  double weight = this->BatchWork(now).empty() ? kNoDemandWeight : kBatchWorkWeight;
-  for (const auto& [service, count] : this->demand) {
-    weight += RateOf(count.At(now));
-  }
-  return weight;
-}
-
-double EndpointLimits::HeardShare(net::SteadyTime now) const {
-  double heard = this->OwnWeight(now);
-  double silent = 0;
-  for (const auto& [name, peer] : this->peers) {
-    (IsHeard(peer, now) ? heard : silent) += peer.Weight();
-  }
-  return heard / (heard + silent);
-}
-
 void EndpointLimits::UpdateShares(net::SteadyTime now) {
   if (this->entries.empty()) {
     return;
   }
-  const double heard = this->HeardShare(now);
+  const double heard = this->demand.HeardShare(now);
   for (auto& [incarnation, entry] : this->entries) {
     entry.limit.SetShare(heard / this->SharedBy(incarnation), now);
   }
 }
 
-double EndpointLimits::OwnDemand(std::uint32_t service, net::SteadyTime now) const {
-  const auto found = this->demand.find(service);
-  return found == this->demand.end() ? 0 : std::max(kMinDemand, RateOf(found->second.At(now)));
-}
-
-double EndpointLimits::DemandShare(std::uint32_t service, net::SteadyTime now) const {
-  const double own = this->OwnDemand(service, now);
-  double all = own;
-  for (const auto& [name, peer] : this->peers) {
-    if (const auto rate = peer.demand.find(service);
-        rate != peer.demand.end() && IsHeard(peer, now)) {
-      all += rate->second;
-    }
-  }
-  return all == 0 ? 1 : own / all;
-}
-
-double EndpointLimits::OnlineTurn(std::uint32_t service, net::SteadyTime now) const {
-  const double seconds = std::chrono::duration<double>(this->period).count();
-  const double own = this->OwnDemand(service, now);
-  const double has_requests = own == 0 ? 1 : 1 - std::exp(-own * seconds);
-  return kTakenPerPeriod * this->DemandShare(service, now) / has_requests;
-}
-
-double EndpointLimits::BatchTurn(std::uint32_t service, net::SteadyTime now) const {
-  const auto others = std::count_if(this->peers.begin(), this->peers.end(), [&](const auto& item) {
-    const std::vector<std::uint32_t>& work = item.second.batch_work;
-    return IsHeard(item.second, now) && std::find(work.begin(), work.end(), service) != work.end();
-  });
-  return kTakenPerPeriod / static_cast<double>(1 + others);
-}
-
 bool EndpointLimits::MaySend(std::uint32_t incarnation, std::uint32_t service, WorkClass work,
                              net::SteadyTime now) const {
   const auto found = this->entries.find(incarnation);
@@ -193,7 +106,9 @@
   if (left < 1) {
     return false;
   }
-  const double turn = is_batch ? this->BatchTurn(service, now) : this->OnlineTurn(service, now);
+  const double turn =
+      kTakenPerPeriod * (is_batch ? this->demand.BatchTurn(service, now)
+                                  : this->demand.OnlineTurn(service, this->period, now));
   const double draw = Draw({this->seed, incarnation, current, is_batch ? 1U : 0U});
   return taken < std::floor(std::min(left * turn + draw, left));
 }
@@ -204,8 +119,8 @@
   if (found == this->entries.end() || !found->second.limit.IsActive()) {
     return std::nullopt;
   }
-  return found->second.limit.Limit() * this->HeardShare(now) / this->SharedBy(incarnation) *
-         this->DemandShare(service, now);
+  return found->second.limit.Limit() * this->demand.HeardShare(now) / this->SharedBy(incarnation) *
+         this->demand.OnlineShare(service, now);
 }
 
 void EndpointLimits::TellNews() const {
@@ -267,10 +182,6 @@
   entry.limit.RecordSent(now);
 }
 
-void EndpointLimits::RecordDemand(std::uint32_t service, net::SteadyTime now) {
-  this->demand[service].Add(now);
-}
-
 LimitReport EndpointLimits::Report(Scope scope, net::SteadyTime now) const {
   LimitReport report;
   for (const auto& [incarnation, entry] : this->entries) {
@@ -281,16 +192,9 @@
       report.endpoints.push_back(entry.limit.Report(incarnation, now));
     }
   }
-  if (this->LimitedCount() == 0) {
-    return report;
-  }
-  for (const auto& [service, count] : this->demand) {
-    const int tenths = static_cast<int>(std::lround(count.At(now) * kTenths));
-    if (tenths > 0) {
-      report.demand.push_back({service, tenths});
-    }
+  if (this->LimitedCount() > 0) {
+    this->demand.AddTo(report, now);
   }
-  report.batch_work = this->BatchWork(now);
   return report;
 }
 
@@ -299,21 +203,11 @@
                                                           const LimitReport& report,
                                                           net::SteadyTime now) {
   std::vector<Change> changes;
-  Peer& peer = this->peers[name];
-  if (std::exchange(peer.start, start) != start) {
+  if (this->demand.RecordPeer(name, start, is_leaving, report, now)) {
     for (auto& [incarnation, entry] : this->entries) {
       entry.limit.RemovePeer(name);
     }
   }
-  peer.heard_at = now;
-  peer.is_leaving = is_leaving;
-  if (!report.IsEmpty()) {
-    peer.demand.clear();
-    for (const KeyedCount& count : report.demand) {
-      peer.demand[count.key] = RateOf(count.tenths / kTenths);
-    }
-    peer.batch_work = report.batch_work;
-  }
   for (const EndpointLimitReport& endpoint : report.endpoints) {
     const bool is_known = this->entries.contains(endpoint.incarnation);
     if (!is_known && endpoint.limit <= 0) {
@@ -330,10 +224,7 @@
 
 std::vector<EndpointLimits::Change> EndpointLimits::Prune(net::SteadyTime now) {
   std::vector<Change> changes;
-  std::erase_if(this->peers, [&](const auto& item) {
-    const Peer& peer = item.second;
-    return now - peer.heard_at >= kPeerMemory || (peer.is_leaving && !IsHeard(peer, now));
-  });
+  this->demand.Prune(now);
   this->UpdateShares(now);
   for (auto& [incarnation, entry] : this->entries) {
     if (const LimitChange change = entry.limit.CheckEnd(now); change != LimitChange::kNone) {
@@ -345,7 +236,6 @@
     const net::SteadyTime used = std::max(limit.NamedAt(), limit.ChangedAt());
     return now - used >= (limit.IsActive() ? kUnusedMemory : kEndedMemory);
   });
-  std::erase_if(this->demand, [&](const auto& item) { return item.second.At(now) < 0.001; });
   return changes;
 }
 
--- a/src/gateway/tests/endpoint_limits_test.cc
+++ b/src/gateway/tests/endpoint_limits_test.cc
@@ -22,7 +22,7 @@
 
   void Ask(int requests) {
     for (int number = 0; number < requests; ++number) {
-      this->limits.RecordDemand(kService, this->now);
+      this->limits.Demand().RecordRequest(kService, this->now);
     }
   }
 
@@ -115,7 +115,7 @@
   REQUIRE(changes.size() == 1);
   CHECK(changes[0].second == LimitChange::kNamed);
   CHECK(started.LimitOf(kEndpoint) == 4);
-  started.RecordDemand(kService, fixture.now);
+  started.Demand().RecordRequest(kService, fixture.now);
   CHECK_FALSE(started.MaySend(kEndpoint, kService, WorkClass::kOnline, fixture.now));
   CHECK(started.MaySend(kEndpoint, kService, WorkClass::kOnline, fixture.now + seconds(2)));
 }
--- a/src/gateway/tests/limit_simulation.cc
+++ b/src/gateway/tests/limit_simulation.cc
@@ -96,7 +96,7 @@
   const auto node = this->setup.is_skewed ? static_cast<std::size_t>(is_second_half ? 1 : 0)
                                           : static_cast<std::size_t>(this->Draw(this->setup.nodes));
   ++this->result.requests;
-  this->nodes[node].limits.RecordDemand(kService, this->now);
+  this->nodes[node].limits.Demand().RecordRequest(kService, this->now);
   this->Send(node, this->now + kQueueWait);
 }
 
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -110,7 +110,8 @@
 bool JobService::StartNextItem() {
   std::set<std::string> full;  // services without a free slot
   while (std::optional<ItemStart> next = this->NextStart(full)) {
-    this->gateway.registry.Limits().RecordBatchWork(gateway::HashKey(next->service), net::Now());
+    this->gateway.registry.Limits().Demand().RecordBatchWork(gateway::HashKey(next->service),
+                                                             net::Now());
     gateway::ChoiceRequest choice{next->service, {}, gateway::WorkClass::kBatch};
     gateway::AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
     if (admitted.lease) {
