--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -210,25 +210,6 @@
   return other.endpoint || choice.reason == NoChoice::kNoUsable ? other : choice;
 }
 
-bool EndpointRegistry::IsWithinLimit(const EndpointState& state, const ChoiceRequest& request,
-                                     net::SteadyTime now) const {
-  if (!state.in_group) {
-    // The nodes of the endpoint's group use the whole limit.
-    return this->outside_limits.MayTry(now) &&
-           !this->outside_limits.IsLimited(state.incarnation, now);
-  }
-  return this->limits.MaySend(state.incarnation, HashKey(request.service), request.work, now);
-}
-
-LimitChange EndpointRegistry::RecordLimit(const EndpointState& state, const LimitNotice& notice,
-                                          net::SteadyTime sent_at, net::SteadyTime now) {
-  if (!state.in_group) {
-    this->outside_limits.RecordAnswer(state.incarnation, notice, now);
-    return LimitChange::kNone;
-  }
-  return this->limits.RecordAnswer(state.incarnation, notice, sent_at, now);
-}
-
 std::optional<milliseconds> EndpointRegistry::PermitWait(const ChoiceRequest& request,
                                                          std::size_t waiting,
                                                          net::SteadyTime now) const {
@@ -254,13 +235,6 @@
   return std::chrono::duration_cast<milliseconds>(std::chrono::duration<double>(seconds));
 }
 
-std::shared_ptr<EndpointState> EndpointRegistry::FindIncarnation(std::uint32_t incarnation) const {
-  const auto found =
-      std::find_if(this->endpoints.begin(), this->endpoints.end(),
-                   [&](const auto& item) { return item.second->incarnation == incarnation; });
-  return found == this->endpoints.end() ? nullptr : found->second;
-}
-
 void EndpointRegistry::SetPeerLoadAge(milliseconds age) {
   this->peer_load_age = age;
   this->limits.SetNewsDelay(2 * age);
