--- a/src/gateway/internal/endpoint_limits.cc
+++ b/src/gateway/internal/endpoint_limits.cc
@@ -21,10 +21,11 @@
 // requests that several nodes send in the same moment exceed the limit more often.
 constexpr double kTakenPerPeriod = 0.6;
 
+constexpr double kHashRange = 4294967296.0;
+
 /// Returns a number of at least 0 and below 1 that is the same for the same values.
 double Draw(const std::array<std::uint64_t, 4>& values) {
-  constexpr double kRange = 4294967296.0;
-  return XXH32(values.data(), sizeof(values), 0) / kRange;
+  return XXH32(values.data(), sizeof(values), 0) / kHashRange;
 }
 
 }  // namespace
--- a/src/gateway/internal/outside_limits.cc
+++ b/src/gateway/internal/outside_limits.cc
@@ -55,6 +55,7 @@
 std::vector<OutsideLimit> OutsideLimits::Facts(const std::vector<std::uint32_t>& own,
                                                std::size_t first, net::SteadyTime now) const {
   std::vector<OutsideLimit> facts;
+  facts.reserve(own.size());
   for (const std::uint32_t incarnation : own) {
     facts.push_back({incarnation, std::chrono::milliseconds(0)});
   }
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -33,6 +33,8 @@
 constexpr milliseconds kLimitsPeriod{1000};
 // Nodes of other groups that evidence is sent to at a time; they pass on what is new to them.
 constexpr std::size_t kOtherGroupNodes = 4;
+// Above any number of limits; the first of those passed on is drawn at random.
+constexpr std::size_t kMaxFirstLimit = 1U << 20U;
 constexpr std::size_t kMaxDatagramBytes = 16 << 10;  // holds 740 endpoints
 
 }  // namespace
@@ -148,12 +150,11 @@
   }
   this->outside_limits_sent = now;
   gateway::EndpointRegistry& registry = this->gateway.registry;
-  constexpr std::size_t kAnyFirst = 1U << 20U;
-  return registry.LimitsOfOthers().Facts(registry.Limits().Limited(), net::RandomBelow(kAnyFirst),
-                                         now);
+  return registry.LimitsOfOthers().Facts(registry.Limits().Limited(),
+                                         net::RandomBelow(kMaxFirstLimit), now);
 }
 
-void PeerExchange::SendToOtherGroups(OtherGroupMessage message) {
+void PeerExchange::SendToOtherGroups(const OtherGroupMessage& message) {
   std::vector<Address> others;
   for (const Address& address : this->candidates) {
     if (!this->group.contains(address)) {
@@ -185,7 +186,7 @@
   const std::string bytes = this->NextMessage(evidence, this->DueLimits(to_new_peer, now));
   OtherGroupMessage outside{this->incarnation, std::move(evidence), this->DueOutsideLimits(now)};
   if (!this->group_is_fleet && !(outside.parts.empty() && outside.limits.empty())) {
-    this->SendToOtherGroups(std::move(outside));
+    this->SendToOtherGroups(outside);
   }
   for (const Address& address : this->candidates) {
     const bool in_group = this->group.empty() || this->group.contains(address);
--- a/src/peers/peer_exchange.h
+++ b/src/peers/peer_exchange.h
@@ -101,7 +101,7 @@
   /// Returns what nodes of other groups are to know of limits, if it is to be sent.
   [[nodiscard]] std::vector<gateway::OutsideLimit> DueOutsideLimits(net::SteadyTime now);
   /// Sends evidence and limits to a few nodes of other groups, which pass them on.
-  void SendToOtherGroups(OtherGroupMessage message);
+  void SendToOtherGroups(const OtherGroupMessage& message);
   void Expire();
   void SendToAll();
   void SendToYieldingPeers();
