Name a request's content and whether its endpoint ended when an attempt fails

It now has request_key (a digest of method, target, host, credentials, prompt parts and body), body_bytes, and endpoint_ended for all requests. Nothing is decided by them yet.

--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -3,6 +3,7 @@
 #include "gateway/internal/online_run.h"
 #include "gateway/types/prompt_part.h"
 #include "net/log_line.h"
+#include "platform/request_key.h"
 
 namespace lentilhead::gateway::internal {
 
@@ -16,13 +17,12 @@
 }
 
 awaitable<bool> OnlineRun::RecordIfEnded(const EndpointLease& lease, std::string_view cause) {
-  if (!IsConnectionLoss(cause) || this->stage == AttemptStage::kAnswering ||
-      this->routed.request.keys.shared.empty()) {
+  if (!IsConnectionLoss(cause) || this->stage == AttemptStage::kAnswering) {
     co_return false;
   }
   const bool ended =
       co_await EndpointCheck::HasEnded(this->gateway.executor, lease.Endpoint().entry.address);
-  if (ended) {
+  if (ended && !this->routed.request.keys.shared.empty()) {
     const InferenceRequest& request = this->routed.request;
     const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage};
     this->gateway.quarantine.RecordEnd(end, net::Now());
@@ -75,7 +75,9 @@
       .With("suspect_failures", lease.Endpoint().failures_in_row)
       .With("stage", NameOf(this->stage))
       .With("endpoint_ended", ended)
-      .With("parts", FormatPartKeys(this->routed.request.keys.shared));
+      .With("parts", FormatPartKeys(this->routed.request.keys.shared))
+      .With("request_key", FormatPartKey(platform::RequestKeyOf(this->routed.request.message)))
+      .With("body_bytes", this->routed.request.message.body().size());
   if (net::Now() >= this->routed.deadline) {
     co_await this->EndAtDeadline();
     co_return Step::kDone;
