Recognize a request that ends endpoints when it comes again

Cause: the containment knew only parts that prompts share. A request as a whole had no key, so that each time it came it was new, at each node and to each node. Where it had shared parts these were blamed, too late (sound requests keep answering them) or, once held, for all sound requests that share them.

Change: a whole request is one more key of the same evidence. It is a digest (BLAKE2b) of method, target, host, credentials and body, computed only while some request is suspected, or when one loses its endpoint. It is held after certain ends at two times, or three uncertain losses at two times. A held key explains its ends for all others: first requests that came again, then shared parts, then requests that came once, so that neither parts nor requests beside it are blamed, and a bad part doesn't get each of its requests held. Requests whose content has just ended an endpoint wait up to 0.6 s for the first loser's second attempt; a request isn't sent on after ends at two times. Ends under a request count for 30 minutes, probes go on to 2,560 s apart. Single ends are forgotten first, then repeated ones, held keys last.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -74,8 +74,8 @@
                                                 std::move(body.bytes));
   }
   EndpointFeedback::RecordUnitLatency(lease.Endpoint(), net::Now() - this->routed.arrival);
-  if (code / 100 == 2) {
-    this->gateway.quarantine.RecordAnswer(this->routed.request.keys, net::Now());
+  if (answer.decoded.is_signed && !answer.decoded.not_executed) {
+    this->RecordAnswer(code / 100 == 2);
   }
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
   const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
@@ -203,7 +203,7 @@
     if (!part.events.empty()) {
       this->silence_recorded = false;
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
-        this->gateway.quarantine.RecordAnswer(this->routed.request.keys, net::Now());
+        this->RecordAnswer(true);
       }
       const net::SteadyTime arrival = net::Now();
       if (last_arrival != net::SteadyTime{}) {
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -16,23 +16,53 @@
          cause == kStreamCutCause || cause == kBodyCutCause;
 }
 
+const PromptKeys& OnlineRun::Keys() {
+  InferenceRequest& request = this->routed.request;
+  if (!request.keys.own && this->gateway.quarantine.KnowsRequests()) {
+    request.keys.own = platform::RequestKeyOf(request.message);
+  }
+  return request.keys;
+}
+
+void OnlineRun::RecordAnswer(bool is_success) {
+  const PromptKeys& keys = this->Keys();
+  this->gateway.quarantine.RecordAnswer(is_success ? keys : PromptKeys{{}, keys.own}, net::Now());
+}
+
 awaitable<bool> OnlineRun::RecordIfEnded(const EndpointLease& lease, std::string_view cause) {
   if (!IsConnectionLoss(cause) || this->stage == AttemptStage::kAnswering) {
     co_return false;
   }
+  const net::SteadyTime lost_at = net::Now();
   const bool ended =
       co_await EndpointCheck::HasEnded(this->gateway.executor, lease.Endpoint().entry.address);
-  if (ended && !this->routed.request.keys.shared.empty()) {
-    const InferenceRequest& request = this->routed.request;
+  if (ended) {
+    InferenceRequest& request = this->routed.request;
+    request.keys.own = platform::RequestKeyOf(request.message);
     const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage};
-    this->gateway.quarantine.RecordEnd(end, net::Now());
+    this->gateway.quarantine.RecordEnd(end, lost_at);
     this->retry_pause = this->gateway.quarantine.PauseBeforeRetry(end);
+    this->may_send_again = this->gateway.quarantine.MaySendAgain(end);
   }
   co_return ended;
 }
 
+awaitable<void> OnlineRun::AwaitSuspicion() {
+  milliseconds pause =
+      this->gateway.quarantine.PauseBeforeSend(this->Keys(), this->routed.request.id, net::Now());
+  if (pause > milliseconds(0)) {
+    this->gateway.metrics.GetCounter("gateway_requests_paused_total").Add();
+  }
+  while (pause > milliseconds(0) && !this->cancel.IsCancelled() &&
+         net::Now() + pause < this->routed.deadline) {
+    co_await this->Pause(std::min(pause, kSuspicionCheckPeriod));
+    pause =
+        this->gateway.quarantine.PauseBeforeSend(this->Keys(), this->routed.request.id, net::Now());
+  }
+}
+
 awaitable<bool> OnlineRun::RefuseIfHeld(EndpointLease* lease) {
-  const PartVerdict verdict = this->gateway.quarantine.Check(this->routed.request.keys, net::Now());
+  const PartVerdict verdict = this->gateway.quarantine.Check(this->Keys(), net::Now());
   const auto* held = std::get_if<PartHeld>(&verdict);
   if (held == nullptr) {
     co_return false;
@@ -41,12 +71,13 @@
     lease->Release();
   }
   this->held_part = held->part;
-  co_await this->Refuse("part_held", held->retry_after);
+  const bool is_request = held->part == this->routed.request.keys.own;
+  co_await this->Refuse(is_request ? "request_held" : "part_held", held->retry_after);
   co_return true;
 }
 
 void OnlineRun::RecordIfProbe(net::SteadyTime now) {
-  const PartVerdict verdict = this->gateway.quarantine.Check(this->routed.request.keys, now);
+  const PartVerdict verdict = this->gateway.quarantine.Check(this->Keys(), now);
   if (const auto* probe = std::get_if<PartProbe>(&verdict)) {
     this->gateway.quarantine.RecordProbe(probe->part, now);
   }
@@ -76,7 +107,9 @@
       .With("stage", NameOf(this->stage))
       .With("endpoint_ended", ended)
       .With("parts", FormatPartKeys(this->routed.request.keys.shared))
-      .With("request_key", FormatPartKey(platform::RequestKeyOf(this->routed.request.message)))
+      .With("request_key", this->routed.request.keys.own
+                               ? FormatPartKey(*this->routed.request.keys.own)
+                               : std::string("none"))
       .With("body_bytes", this->routed.request.message.body().size());
   if (net::Now() >= this->routed.deadline) {
     co_await this->EndAtDeadline();
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -33,7 +33,8 @@
 }
 
 bool OnlineRun::MayRetry() const {
-  return AttemptPolicy::MayRetry(*this->routed.route, this->record, this->routed.IsRepeatable());
+  return this->may_send_again &&
+         AttemptPolicy::MayRetry(*this->routed.route, this->record, this->routed.IsRepeatable());
 }
 
 void OnlineRun::Count(const char* outcome, std::string_view reason) {
@@ -99,6 +100,7 @@
       .With("occupancy", this->gateway.registry.Occupancy(this->routed.service, net::Now()))
       .With("retry_after_ms", wait.count())
       .With("part", this->held_part ? FormatPartKey(*this->held_part) : "none")
+      .With("path", this->held_part ? this->routed.request.path : "")
       .With("ms", net::ToMilliseconds(net::Now() - this->routed.arrival).count());
   net::Response response = MakeRefusalResponse(reason, wait);
   co_await this->session.Send(std::move(response), this->WriteLimit());
@@ -186,6 +188,7 @@
       co_await this->EndAtDeadline();
       co_return;
     }
+    co_await this->AwaitSuspicion();
     const bool is_held = co_await this->RefuseIfHeld();
     if (is_held) {
       co_return;
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -38,6 +38,8 @@
   static constexpr std::string_view kBodyCutCause = "body_cut";
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
+  /// Between checks whether a suspicion has ended.
+  static constexpr std::chrono::milliseconds kSuspicionCheckPeriod{20};
 
   net::asio::awaitable<AdmissionOutcome> AcquireSlot();
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
@@ -60,12 +62,19 @@
   /// Whether the connection to an endpoint was lost before the whole answer was received.
   [[nodiscard]] static bool IsConnectionLoss(std::string_view cause);
   /// Finds out whether the endpoint ended before it sent the first event or a whole answer, and
-  /// records it as evidence on the parts of the prompt. @return whether it ended.
+  /// records it as evidence on the request and the parts of its prompt. @return whether it ended.
   net::asio::awaitable<bool> RecordIfEnded(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
-  /// Refuses the request if a part of its prompt is held back.
+  /// Keys by which the request may match evidence.
+  const PromptKeys& Keys();
+  /// Records that an endpoint answered. @param is_success whether the parts of the prompt are
+  /// answered, too.
+  void RecordAnswer(bool is_success);
+  /// Waits while another request with the same content is suspected to end endpoints.
+  net::asio::awaitable<void> AwaitSuspicion();
+  /// Refuses the request if it, or a part of its prompt, is held back.
   /// @param lease slot to release first, if there is one.
   /// @return whether it was refused.
   net::asio::awaitable<bool> RefuseIfHeld(EndpointLease* lease = nullptr);
@@ -104,6 +113,7 @@
   SilenceWatch silence;
   bool stream_begun = false;
   std::chrono::milliseconds retry_pause{0};  ///< before the next attempt
+  bool may_send_again = true;                ///< as far as lost endpoints tell
   std::optional<PartKey> held_part;          ///< because of which the request is refused
   std::optional<AnswerFraming> framing;      ///< of the last streamed answer
   std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/internal/age.h"
+#include "gateway/types/end_weight.h"
 #include "net/log_line.h"
 
 namespace lentilhead::gateway {
@@ -14,35 +16,50 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr int kBegunWeight = 2;       // the answer had begun
-constexpr int kUnansweredWeight = 1;  // the request may still have waited
+constexpr int kBegunWeight = EndWeight::kMax;  // the answer had begun
+constexpr int kUnansweredWeight = 2;           // the request may still have waited
 // Weight of the ends under which a part is held: two requests whose answers had begun.
-constexpr int kHoldWeight = 4;
+constexpr int kHoldWeight = 2 * kBegunWeight;
 // A part that was answered before is shared by sound requests, which many ends hit by chance.
-constexpr int kHoldAnsweredWeight = 12;
+constexpr int kHoldAnsweredWeight = 6 * kBegunWeight;
 // A single request may hit several ends by chance, as it is sent again after each.
-constexpr int kHoldSingleRequestWeight = 6;
+constexpr int kHoldSingleRequestWeight = 3 * kBegunWeight;
+// A whole request is held after ends at two times that are certain, or after this many others.
+constexpr int kHoldRequestWeight = 2 * kUnansweredWeight;
+constexpr std::size_t kHoldRequestEnds = 3;
+constexpr std::size_t kHoldRequestTimes = 2;
 // Endpoints that end within this time may have a common cause, such as a rack.
 constexpr milliseconds kCommonCauseSpan{50};
 // Longer than it takes another such request to end its endpoint and the nodes to hear of it.
 constexpr milliseconds kSuspectPause{300};
-// Ends that are further apart are chance.
+// Requests that waited for the same evidence go on one after the other.
+constexpr std::uint32_t kMaxStaggerMs = 300;
+// Ends under one part that are further apart are chance.
 constexpr seconds kEndLifetime{60};
+// The same request may come once a minute.
+constexpr seconds kRequestEndLifetime{1800};
 // Answers are repeated to other nodes for this long.
 constexpr seconds kAnswerLifetime{10};
-constexpr seconds kHoldLifetime{1800};  // since the last end or probe
+constexpr seconds kHoldLifetime{7200};  // since the last end or probe; longer than any distance
 constexpr seconds kFirstProbeDelay{10};
 constexpr int kProbeBackoff = 4;
-constexpr int kMaxProbeExponent = 3;
+constexpr int kMaxProbeExponent = 4;
 // A request with the part may not come at the node whose turn it is.
 constexpr seconds kProbeTurn{2};
-constexpr std::size_t kMaxSuspects = 256;
+constexpr std::size_t kMaxSuspects = 1024;
 
 std::uint32_t KeyOf(const std::string& request_id) {
   return XXH32(request_id.data(), request_id.size(), 0);
 }
 
-/// The keys in the order of their depth; an item's own key is the deepest.
+int WeightOf(const RequestEnd& end) {
+  if (!end.is_certain) {
+    return EndWeight::kMin;
+  }
+  return end.stage == AttemptStage::kBegun ? kBegunWeight : kUnansweredWeight;
+}
+
+/// The keys in the order of their depth; that of the whole request is the deepest.
 std::vector<PartKey> AllOf(const PromptKeys& keys) {
   std::vector<PartKey> all = keys.shared;
   if (keys.own) {
@@ -51,10 +68,6 @@
   return all;
 }
 
-milliseconds AgeOf(net::SteadyTime time, net::SteadyTime now) {
-  return std::max(milliseconds(0), net::ToMilliseconds(now - time));
-}
-
 }  // namespace
 
 void PartQuarantine::NoteChange() {
@@ -96,8 +109,10 @@
       continue;
     }
     requests.insert(end.request);
+    ++suspicion.ends;
     if (group_weight == 0 || end.at - group_start > kCommonCauseSpan) {
       suspicion.weight += group_weight;
+      ++suspicion.times;
       group_start = end.at;
       group_weight = 0;
     }
@@ -109,12 +124,21 @@
 }
 
 bool PartQuarantine::IsBlamed(const Suspect& suspect, const Suspicion& suspicion) {
+  if (suspect.IsRequest()) {
+    return suspicion.times >= kHoldRequestTimes &&
+           (suspicion.ends >= kHoldRequestEnds || suspicion.weight >= kHoldRequestWeight);
+  }
   if (suspect.last_answer != net::SteadyTime{}) {
     return suspicion.weight >= kHoldAnsweredWeight;
   }
   return suspicion.weight >= (suspicion.requests > 1 ? kHoldWeight : kHoldSingleRequestWeight);
 }
 
+PartQuarantine::Rank PartQuarantine::RankOf(const Suspect& suspect, const Suspicion& suspicion) {
+  const int order = !suspect.IsRequest() ? 1 : suspicion.requests > 1 ? 2 : 0;
+  return {order, suspect.depth, suspicion.weight, suspicion.requests};
+}
+
 net::SteadyTime PartQuarantine::ProbeDue(const Suspect& suspect) {
   int factor = 1;
   for (int step = 0; step < std::min(suspect.probes, kMaxProbeExponent); ++step) {
@@ -128,6 +152,7 @@
   Suspect& suspect = found->second;
   suspect.depth = std::max(suspect.depth, depth);
   if (is_new) {
+    this->suspected_requests += suspect.IsRequest() ? 1 : 0;
     suspect.last_answer = this->answered.LastAnswer(part).value_or(net::SteadyTime{});
   }
   return suspect;
@@ -161,13 +186,17 @@
 }
 
 void PartQuarantine::RecordEnd(const RequestEnd& end, net::SteadyTime now) {
-  const int weight = end.stage == AttemptStage::kBegun ? kBegunWeight : kUnansweredWeight;
+  const TimedEnd timed{end.endpoint, KeyOf(end.request_id), WeightOf(end), now};
   int depth = 0;
-  for (const PartKey part : AllOf(end.keys)) {
-    Suspect& suspect = this->SuspectOf(part, depth++);
-    if (AddEnd(suspect, {end.endpoint, KeyOf(end.request_id), weight, now})) {
-      this->NoteChange();
-    }
+  bool changed = false;
+  for (const PartKey part : end.keys.shared) {
+    changed = AddEnd(this->SuspectOf(part, depth++), timed) || changed;
+  }
+  if (end.keys.own) {
+    changed = AddEnd(this->SuspectOf(*end.keys.own, PartEvidence::kWholeRequest), timed) || changed;
+  }
+  if (changed) {
+    this->NoteChange();
   }
   this->MakeRoom();
   this->UpdateHeld(now);
@@ -179,10 +208,47 @@
     return found != this->suspects.end() && found->second.last_answer == net::SteadyTime{};
   };
   const bool waits =
-      end.stage == AttemptStage::kBegun && std::ranges::any_of(AllOf(end.keys), is_suspected);
+      end.stage == AttemptStage::kBegun && std::ranges::any_of(end.keys.shared, is_suspected);
   return waits ? kSuspectPause : milliseconds(0);
 }
 
+milliseconds PartQuarantine::PauseBeforeSend(const PromptKeys& keys, const std::string& request_id,
+                                             net::SteadyTime now) const {
+  const auto found = keys.own ? this->suspects.find(*keys.own) : this->suspects.end();
+  const std::uint32_t own_id = KeyOf(request_id);
+  // The request that lost its endpoint first goes on, so that it finds out for all others.
+  if (found == this->suspects.end() || found->second.ends.empty() ||
+      found->second.ends.front().request == own_id) {
+    return milliseconds(0);
+  }
+  net::SteadyTime until = now;
+  for (const TimedEnd& end : found->second.ends) {
+    if (end.weight > EndWeight::kMin) {
+      until = std::max(until, end.at + kSuspectPause + milliseconds(own_id % kMaxStaggerMs));
+    }
+  }
+  return net::ToMilliseconds(until - now);
+}
+
+std::set<std::uint32_t> PartQuarantine::EndpointsExplained() const {
+  std::set<std::uint32_t> explained;
+  for (const PartKey part : this->held) {
+    for (const TimedEnd& end : this->suspects.at(part).ends) {
+      explained.insert(end.endpoint);
+    }
+  }
+  return explained;
+}
+
+bool PartQuarantine::MaySendAgain(const RequestEnd& end) const {
+  const auto found = end.keys.own ? this->suspects.find(*end.keys.own) : this->suspects.end();
+  if (found != this->suspects.end() && this->held.contains(found->first)) {
+    return false;
+  }
+  return found == this->suspects.end() ||
+         Weigh(found->second, this->EndpointsExplained()).times < kHoldRequestTimes;
+}
+
 bool PartQuarantine::HasTurn(PartKey part, std::chrono::nanoseconds since_due) const {
   return !this->is_own_turn ||
          this->is_own_turn(part, static_cast<std::uint64_t>(since_due / kProbeTurn));
@@ -219,91 +285,20 @@
   net::LogLine("part_probed").With("part", FormatPartKey(part)).With("probes", suspect.probes);
 }
 
-std::vector<PartEvidence> PartQuarantine::Evidence(net::SteadyTime now) const {
-  std::vector<const Suspects::value_type*> order;
-  for (const auto& entry : this->suspects) {
-    order.push_back(&entry);
-  }
-  std::ranges::sort(order, [this](const auto* left, const auto* right) {
-    const bool left_held = this->held.contains(left->first);
-    const bool right_held = this->held.contains(right->first);
-    return left_held != right_held ? left_held
-                                   : left->second.last_changed > right->second.last_changed;
-  });
-  order.resize(std::min(order.size(), kMaxSharedEvidence));
-  std::vector<PartEvidence> evidence;
-  for (const auto* entry : order) {
-    const Suspect& suspect = entry->second;
-    PartEvidence& shared = evidence.emplace_back();
-    shared.part = entry->first;
-    shared.depth = suspect.depth;
-    for (const TimedEnd& end : suspect.ends) {
-      shared.ends.push_back({end.endpoint, end.request, end.weight, AgeOf(end.at, now)});
-    }
-    if (suspect.last_answer != net::SteadyTime{}) {
-      shared.answer_age = AgeOf(suspect.last_answer, now);
-    }
-    shared.probes = suspect.probes;
-    shared.probe_age = AgeOf(suspect.last_probe, now);
-  }
-  return evidence;
-}
-
-bool PartQuarantine::MergeOne(const PartEvidence& evidence, net::SteadyTime now) {
-  const bool is_known = this->suspects.contains(evidence.part);
-  if (!is_known && evidence.ends.empty()) {
-    return false;
-  }
-  Suspect& suspect = this->SuspectOf(evidence.part, evidence.depth);
-  bool changed = false;
-  if (evidence.answer_age) {
-    const net::SteadyTime at = now - std::max(*evidence.answer_age, milliseconds(0));
-    changed = suspect.last_answer == net::SteadyTime{};
-    this->NoteAnswer(evidence.part, at, now);
-  }
-  for (const PartEnd& end : evidence.ends) {
-    const int weight = std::clamp(end.weight, kUnansweredWeight, kBegunWeight);
-    const milliseconds age = std::max(end.age, milliseconds(0));
-    changed = AddEnd(suspect, {end.endpoint, end.request, weight, now - age}) || changed;
-  }
-  if (evidence.probes > suspect.probes) {
-    suspect.probes = evidence.probes;
-    suspect.last_probe = now - std::max(evidence.probe_age, milliseconds(0));
-    suspect.last_changed = std::max(suspect.last_changed, suspect.last_probe);
-    changed = true;
-  }
-  return changed;
-}
-
-void PartQuarantine::Merge(const std::vector<PartEvidence>& evidence, net::SteadyTime now) {
-  bool changed = false;
-  for (const PartEvidence& one : evidence) {
-    changed = this->MergeOne(one, now) || changed;
-  }
-  if (!changed) {
-    return;
-  }
-  this->NoteChange();
-  this->MakeRoom();
-  this->UpdateHeld(now);
-}
-
 const PartQuarantine::Suspects::value_type* PartQuarantine::NextToBlame(
     const std::set<PartKey>& blamed, const std::set<std::uint32_t>& explained) const {
   const Suspects::value_type* next = nullptr;
-  int next_weight = 0;
+  Rank next_rank;
   for (const auto& entry : this->suspects) {
     const Suspect& suspect = entry.second;
-    const Suspicion suspicion = Weigh(suspect, explained);
-    if (blamed.contains(entry.first) || !IsBlamed(suspect, suspicion)) {
+    if (suspect.ends.size() < kHoldRequestTimes || blamed.contains(entry.first)) {
       continue;
     }
-    const bool comes_first =
-        next == nullptr || suspect.depth > next->second.depth ||
-        (suspect.depth == next->second.depth && suspicion.weight > next_weight);
-    if (comes_first) {
+    const Suspicion suspicion = Weigh(suspect, explained);
+    const Rank rank = RankOf(suspect, suspicion);
+    if (IsBlamed(suspect, suspicion) && (next == nullptr || rank > next_rank)) {
       next = &entry;
-      next_weight = suspicion.weight;
+      next_rank = rank;
     }
   }
   return next;
@@ -336,28 +331,36 @@
   const bool was_answered = suspect.last_answer != net::SteadyTime{};
   net::LogLine("part_held")
       .With("part", FormatPartKey(part))
+      .With("kind", suspect.IsRequest() ? "request" : "part")
       .With("depth", suspect.depth)
       .With("ends", suspect.ends.size())
-      .With("first_end_ms", AgeOf(suspect.ends.front().at, now).count())
-      .With("last_answer_ms", was_answered ? AgeOf(suspect.last_answer, now).count() : -1)
+      .With("first_end_ms", internal::AgeOf(suspect.ends.front().at, now).count())
+      .With("last_answer_ms", was_answered ? internal::AgeOf(suspect.last_answer, now).count() : -1)
       .With("probes", suspect.probes);
 }
 
 void PartQuarantine::MakeRoom() {
   while (this->suspects.size() > kMaxSuspects) {
-    const auto oldest = std::ranges::min_element(this->suspects, {}, [this](const auto& entry) {
-      return std::pair(this->held.contains(entry.first), entry.second.last_changed);
+    const auto least = std::ranges::min_element(this->suspects, {}, [this](const auto& entry) {
+      const bool is_repeated = entry.second.ends.size() >= kHoldRequestTimes;
+      return std::tuple(this->held.contains(entry.first), is_repeated, entry.second.last_changed);
     });
-    this->suspects.erase(oldest);
+    this->suspects.erase(least);
   }
+  this->CountRequests();
+}
+
+void PartQuarantine::CountRequests() {
+  this->suspected_requests = static_cast<std::size_t>(std::ranges::count_if(
+      this->suspects, [](const auto& entry) { return entry.second.IsRequest(); }));
 }
 
 void PartQuarantine::Prune(net::SteadyTime now) {
   const std::size_t before = this->suspects.size();
   for (auto& [part, suspect] : this->suspects) {
     if (!this->held.contains(part)) {
-      std::erase_if(suspect.ends,
-                    [now](const TimedEnd& end) { return now - end.at >= kEndLifetime; });
+      const seconds lifetime = suspect.IsRequest() ? kRequestEndLifetime : kEndLifetime;
+      std::erase_if(suspect.ends, [=](const TimedEnd& end) { return now - end.at >= lifetime; });
     }
   }
   std::erase_if(this->suspects, [this, now](const auto& entry) {
@@ -367,6 +370,7 @@
     return !has_evidence && now - suspect.last_changed >= lifetime;
   });
   if (this->suspects.size() != before) {
+    this->CountRequests();
     this->NoteChange();
     this->UpdateHeld(now);
   }
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -4,6 +4,8 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <string>
+#include <tuple>
 #include <vector>
 
 #include "gateway/answered_parts.h"
@@ -14,16 +16,17 @@
 
 namespace lentilhead::gateway {
 
-/// Finds the parts of prompts that end the endpoints which begin to answer them, and holds requests
-/// with these parts back; likewise single items of batch jobs. Answers a "query of death": requests
-/// that share such a part, come at all nodes and would end one endpoint after the other.
+/// Finds the requests, and the parts of prompts, that end the endpoints which begin to answer them,
+/// and holds these requests back. Answers a "query of death": a request that comes again, or
+/// requests that share such a part, come at all nodes and would end one endpoint after the other.
 ///
-/// A part is suspected when endpoints ended with requests of it that had no event yet. It is held
-/// when such ends of several requests, at different times, follow each other without an answer in
-/// between; a part that was answered before needs more of them. Of the parts of a prompt the one
-/// that stands later is held first, and its ends count for no other part. The ends of endpoints
-/// that go down together count once. An answer to a request with the part, at any node, ends the
-/// suspicion.
+/// A request and each part of its prompt are keys of the same evidence; below, a part is either. A
+/// part is suspected when endpoints ended with requests of it that had no event yet. It is held
+/// when such ends, at different times, follow each other without an answer in between; a part that
+/// was answered before needs more of them. The ends of a held part count for no other one: first
+/// come requests that came again, then parts, those that stand later before others, then requests
+/// that came once. The ends of endpoints that go down together count once. An answer to a request
+/// with the part, at any node, ends the suspicion.
 ///
 /// While a part is held, single probes of the whole fleet find out whether it still ends endpoints,
 /// at growing distances. All nodes decide alike because they exchange the evidence. Reads no clock
@@ -44,6 +47,9 @@
   /// Sets the function that is called after each change of the evidence.
   void OnChange(std::function<void()> callback) { this->on_change = std::move(callback); }
 
+  /// Whether evidence on a whole request exists, so that PromptKeys::own may match it.
+  [[nodiscard]] bool KnowsRequests() const { return this->suspected_requests > 0; }
+
   /// Records that an endpoint answered a request with these keys: its first event or all of it.
   void RecordAnswer(const PromptKeys& keys, net::SteadyTime now);
 
@@ -55,6 +61,17 @@
   /// @return 0 if every part was answered before, or if the answer had not begun.
   [[nodiscard]] std::chrono::milliseconds PauseBeforeRetry(const RequestEnd& end) const;
 
+  /// Decides how long a request waits because another one with the same content has just ended an
+  /// endpoint. What becomes of that one, and of others that were sent already, is known soon.
+  /// @return 0 if there is no such request.
+  [[nodiscard]] std::chrono::milliseconds PauseBeforeSend(const PromptKeys& keys,
+                                                          const std::string& request_id,
+                                                          net::SteadyTime now) const;
+
+  /// Decides whether a request that lost its connection to an endpoint may be sent to another one.
+  /// @return false if endpoints ended under it, or under one with the same content, at two times.
+  [[nodiscard]] bool MaySendAgain(const RequestEnd& end) const;
+
   /// Decides whether a request with these keys may be sent.
   [[nodiscard]] PartVerdict Check(const PromptKeys& keys, net::SteadyTime now) const;
 
@@ -62,7 +79,8 @@
   void RecordProbe(PartKey part, net::SteadyTime now);
 
   /// What the other nodes are to know, the held parts first.
-  [[nodiscard]] std::vector<PartEvidence> Evidence(net::SteadyTime now) const;
+  /// @param for_new_node also what has not changed for long, and is known to all other nodes.
+  [[nodiscard]] std::vector<PartEvidence> Evidence(net::SteadyTime now, bool for_new_node) const;
 
   /// Adds the evidence of another node.
   void Merge(const std::vector<PartEvidence>& evidence, net::SteadyTime now);
@@ -87,6 +105,8 @@
 
   /// A part under which endpoints ended.
   struct Suspect {
+    [[nodiscard]] bool IsRequest() const { return this->depth == PartEvidence::kWholeRequest; }
+
     int depth = 0;
     std::vector<TimedEnd> ends;    ///< since the last answer, ordered by time
     net::SteadyTime last_answer;   ///< epoch if none is known
@@ -99,14 +119,21 @@
   /// How strongly a part is suspected.
   struct Suspicion {
     int weight = 0;
+    std::size_t ends = 0;
+    std::size_t times = 0;  ///< ends that are close together count once
     std::size_t requests = 0;
   };
 
+  /// Order in which suspects are held; the greatest first.
+  using Rank = std::tuple<int, int, int, std::size_t>;
+
   void NoteChange();
   static bool AddEnd(Suspect& suspect, const TimedEnd& end);
   [[nodiscard]] static Suspicion Weigh(const Suspect& suspect,
                                        const std::set<std::uint32_t>& explained);
   [[nodiscard]] static bool IsBlamed(const Suspect& suspect, const Suspicion& suspicion);
+  [[nodiscard]] static Rank RankOf(const Suspect& suspect, const Suspicion& suspicion);
+  [[nodiscard]] std::set<std::uint32_t> EndpointsExplained() const;
   [[nodiscard]] static net::SteadyTime ProbeDue(const Suspect& suspect);
   [[nodiscard]] bool HasTurn(PartKey part, std::chrono::nanoseconds since_due) const;
   [[nodiscard]] const Suspects::value_type* NextToBlame(
@@ -118,11 +145,13 @@
   void UpdateHeld(net::SteadyTime now);
   void LogHeld(PartKey part, net::SteadyTime now) const;
   void MakeRoom();
+  void CountRequests();
 
   TurnCheck is_own_turn;
   std::function<void()> on_change;
   AnsweredParts answered;
   Suspects suspects;
+  std::size_t suspected_requests = 0;
   std::set<PartKey> held;
   std::uint64_t version = 0;
 };
--- a/src/gateway/tests/quarantine_simulation.cc
+++ b/src/gateway/tests/quarantine_simulation.cc
@@ -16,6 +16,7 @@
 constexpr milliseconds kQueueTime{15};    // until an answer begins
 constexpr milliseconds kPrefillTime{70};  // from then until its first event
 constexpr milliseconds kFailureDelay{3};  // until a node knows that an endpoint ended
+constexpr milliseconds kSuspicionCheckPeriod{20};
 constexpr milliseconds kMessageDelay{27};
 constexpr milliseconds kMessagePeriod{100};
 constexpr milliseconds kRepeatPeriod{1000};
@@ -24,6 +25,9 @@
 constexpr PartKey kSubjectBase = 1000;
 constexpr PartKey kBadBase = 1;
 constexpr PartKey kFirstBase = 500;
+constexpr PartKey kRepeated = 1 << 20;
+constexpr PartKey kBadRequestBase = 1 << 21;
+constexpr PartKey kRequestBase = 1 << 22;
 constexpr std::size_t kSingleGroup = 24;
 constexpr std::size_t kGroup = 16;
 constexpr int kOtherGroupNodes = 4;
@@ -63,20 +67,31 @@
   return learnt > 0 && this->now > this->ends[learnt - 1] + kSettled;
 }
 
-void QuarantineSimulation::Arrive(bool is_bad, int bad_part) {
+QuarantineSimulation::Request QuarantineSimulation::MakeRequest(bool is_bad) {
   Request request;
   request.id = std::to_string(++this->requests);
   request.is_bad = is_bad;
   request.node = static_cast<std::size_t>(this->Draw(this->setup.nodes));
-  const PartKey first = kFirstBase + static_cast<PartKey>(this->Draw(kFirstParts));
-  const PartKey subject = kSubjectBase + static_cast<PartKey>(this->Draw(this->setup.subjects));
-  const PartKey bad = kBadBase + static_cast<PartKey>(bad_part);
-  if (!is_bad) {
-    request.parts = {first, subject};
-  } else if (this->setup.is_first_part_bad) {
-    request.parts = {bad, subject};
-  } else {
-    request.parts = {first, bad};
+  request.keys.shared = {kFirstBase + static_cast<PartKey>(this->Draw(kFirstParts)),
+                         kSubjectBase + static_cast<PartKey>(this->Draw(this->setup.subjects))};
+  request.keys.own = kRequestBase + static_cast<PartKey>(this->requests);
+  return request;
+}
+
+void QuarantineSimulation::ArriveAgain(PartKey own, bool is_bad, double per_second) {
+  Request request = this->MakeRequest(is_bad);
+  request.keys.own = own;
+  std::exponential_distribution<double> gap(per_second);
+  this->At(milliseconds(1 + static_cast<int>(1000 * gap(this->random))),
+           [=, this] { this->ArriveAgain(own, is_bad, per_second); });
+  this->Send(std::move(request));
+}
+
+void QuarantineSimulation::Arrive(bool is_bad, int bad_part) {
+  Request request = this->MakeRequest(is_bad);
+  if (is_bad) {
+    request.keys.shared[this->setup.is_first_part_bad ? 0 : 1] =
+        kBadBase + static_cast<PartKey>(bad_part);
   }
   const double rate = is_bad ? this->setup.bad_per_second : this->setup.sound_per_second;
   std::exponential_distribution<double> gap(rate);
@@ -87,7 +102,12 @@
 
 void QuarantineSimulation::Send(Request request) {
   PartQuarantine& quarantine = this->nodes[request.node].quarantine;
-  const PartVerdict verdict = quarantine.Check({request.parts, {}}, this->now);
+  const milliseconds pause = quarantine.PauseBeforeSend(request.keys, request.id, this->now);
+  if (pause > milliseconds(0)) {
+    this->At(std::min(pause, kSuspicionCheckPeriod), [this, request] { this->Send(request); });
+    return;
+  }
+  const PartVerdict verdict = quarantine.Check(request.keys, this->now);
   const bool is_held = std::holds_alternative<PartHeld>(verdict);
   if (!request.is_bad && this->IsSettled()) {
     ++this->result.sound;
@@ -111,6 +131,10 @@
   if (request.is_bad && this->IsLate()) {
     ++this->result.reached_late;
   }
+  if (const auto tally = this->tallies.find(*request.keys.own); tally != this->tallies.end()) {
+    const auto& ended = tally->second.ends;
+    tally->second.late += ended.size() >= 3 && this->now > ended[2] + kContact ? 1 : 0;
+  }
   ++request.attempts;
   const std::size_t endpoint =
       up[static_cast<std::size_t>(this->Draw(static_cast<int>(up.size())))];
@@ -126,7 +150,8 @@
   if (found == running.end()) {
     return;
   }
-  found->second.stage = AttemptStage::kBegun;
+  found->second.stage =
+      this->setup.ends_unanswered ? AttemptStage::kUnanswered : AttemptStage::kBegun;
   this->At(kPrefillTime + milliseconds(this->Draw(60)),
            [this, endpoint, attempt] { this->Answer(endpoint, attempt); });
 }
@@ -139,12 +164,16 @@
   }
   if (found->second.request.is_bad) {
     this->ends.push_back(this->now);
+    const auto tally = this->tallies.find(*found->second.request.keys.own);
+    if (tally != this->tallies.end()) {
+      tally->second.ends.push_back(this->now);
+    }
     ++this->result.ended;
     this->End(endpoint);
     return;
   }
   const Request& request = found->second.request;
-  this->nodes[request.node].quarantine.RecordAnswer({request.parts, {}}, this->now);
+  this->nodes[request.node].quarantine.RecordAnswer(request.keys, this->now);
   running.erase(found);
 }
 
@@ -157,9 +186,12 @@
   for (const auto& [id, attempt] : lost) {
     const Request& request = attempt.request;
     PartQuarantine& quarantine = this->nodes[request.node].quarantine;
-    const RequestEnd end{request.id, {request.parts, {}}, ended.incarnation, attempt.stage};
+    const RequestEnd end{request.id, request.keys, ended.incarnation, attempt.stage,
+                         this->setup.is_loss_certain};
     quarantine.RecordEnd(end, this->now);
-    if (request.attempts < kMaxAttempts) {
+    const bool is_sent_again = request.attempts < kMaxAttempts && quarantine.MaySendAgain(end);
+    this->result.lost_sound += !request.is_bad && !is_sent_again ? 1 : 0;
+    if (is_sent_again) {
       this->At(kFailureDelay + quarantine.PauseBeforeRetry(end),
                [this, request] { this->Send(request); });
     }
@@ -193,7 +225,8 @@
 
 void QuarantineSimulation::SendMessage(std::size_t node) {
   this->nodes[node].is_sending = false;
-  const std::vector<PartEvidence> evidence = this->nodes[node].quarantine.Evidence(this->now);
+  const std::vector<PartEvidence> evidence =
+      this->nodes[node].quarantine.Evidence(this->now, false);
   if (evidence.empty()) {
     return;
   }
@@ -207,11 +240,27 @@
   }
 }
 
+void QuarantineSimulation::NoteHeld(PromptKeys keys, PartKey part, std::set<PartKey>& held) const {
+  for (const Node& node : this->nodes) {
+    if (!std::holds_alternative<PartsAllowed>(node.quarantine.Check(keys, this->now))) {
+      held.insert(part);
+    }
+  }
+}
+
 SimulationResult QuarantineSimulation::Run() {
   this->Arrive(false, 0);
   for (int part = 0; part<this->setup.bad_parts&& this->setup.bad_per_second> 0; ++part) {
     this->At(kWarmUp, [this, part] { this->Arrive(true, part); });
   }
+  for (int number = 0; number < this->setup.bad_requests; ++number) {
+    const PartKey own = kBadRequestBase + static_cast<PartKey>(number);
+    this->tallies[own] = {};
+    this->At(kWarmUp, [this, own] { this->ArriveAgain(own, true, this->setup.bad_per_second); });
+  }
+  if (this->setup.repeated_per_second > 0) {
+    this->ArriveAgain(kRepeated, false, this->setup.repeated_per_second);
+  }
   for (const milliseconds time : this->setup.mass_losses) {
     this->At(time, [this] {
       for (std::size_t index = 0; index < this->endpoints.size() / 3; ++index) {
@@ -240,13 +289,15 @@
     const PartKey part = first < kFirstParts
                              ? kFirstBase + static_cast<PartKey>(first)
                              : kSubjectBase + static_cast<PartKey>(first - kFirstParts);
-    for (const Node& node : this->nodes) {
-      if (!std::holds_alternative<PartsAllowed>(node.quarantine.Check({{part}, {}}, this->now))) {
-        held.insert(part);
-      }
-    }
+    this->NoteHeld({{part}, {}}, part, held);
   }
+  this->NoteHeld({{}, kRepeated}, kRepeated, held);
   this->result.held_parts = static_cast<int>(held.size());
+  for (const auto& [own, tally] : this->tallies) {
+    this->result.most_ended =
+        std::max(this->result.most_ended, static_cast<int>(tally.ends.size()));
+    this->result.most_late = std::max(this->result.most_late, tally.late);
+  }
   return this->result;
 }
 
--- a/src/gateway/types/prompt_keys.h
+++ b/src/gateway/types/prompt_keys.h
@@ -11,8 +11,8 @@
 struct PromptKeys {
   /// Parts of the prompt that other requests may share, in their order.
   std::vector<PartKey> shared;
-  /// The item itself, if the request is an item of a batch job: these are sent again until they
-  /// end.
+  /// The request as a whole. Empty for items of batch jobs, which end no endpoints by themselves,
+  /// and where no evidence can match it, as it is costly for long bodies.
   std::optional<PartKey> own;
 };
 
--- a/src/gateway/types/request_end.h
+++ b/src/gateway/types/request_end.h
@@ -14,6 +14,7 @@
   PromptKeys keys;
   std::uint32_t endpoint = 0;  ///< incarnation of the endpoint
   AttemptStage stage = AttemptStage::kUnanswered;
+  bool is_certain = true;  ///< false if only the connection is known to be lost
 };
 
 }  // namespace lentilhead::gateway
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -141,7 +141,7 @@
   }
   this->evidence_version = version;
   this->evidence_sent = now;
-  return this->gateway.quarantine.Evidence(now);
+  return this->gateway.quarantine.Evidence(now, to_new_peer);
 }
 
 std::vector<gateway::OutsideLimit> PeerExchange::DueOutsideLimits(net::SteadyTime now) {
