See that an endpoint ended also where its address still accepts

What callers saw: while another process accepts connections at the address of an endpoint that is down (socket activation, a supervisor, a proxy), requests and parts that end endpoints were not held at all.

Cause: the only evidence was a connection refused right after the loss. Change: EndpointCheck opens a connection and watches what becomes of it. One that is refused, or dropped within 20 ms, tells that the endpoint ended; an idle connection to the same endpoint that is still open tells that it lives, and then the loss is no evidence. A connection that may have been idle for too long counts only if the endpoint ended. The time of an end is that of the loss, not of the end of the check, so that endpoints that go down together stay together.

--- a/src/gateway/internal/connection_pool.cc
+++ b/src/gateway/internal/connection_pool.cc
@@ -40,6 +40,15 @@
   return nullptr;
 }
 
+bool ConnectionPool::HasOpen(const EndpointState& endpoint) const {
+  const auto found = this->idle.find(endpoint.entry.id);
+  return found != this->idle.end() &&
+         std::ranges::any_of(found->second, [&](const Connection& connection) {
+           return connection->endpoint.get() == &endpoint &&
+                  net::IsIdleAndOpen(connection->stream.socket());
+         });
+}
+
 void ConnectionPool::Return(Connection connection, net::SteadyTime now) {
   std::vector<Connection>& list = this->idle[connection->endpoint->entry.id];
   if (list.size() >= kMaxIdlePerEndpoint) {
--- a/src/gateway/internal/connection_pool.h
+++ b/src/gateway/internal/connection_pool.h
@@ -21,6 +21,9 @@
   [[nodiscard]] Connection Take(const EndpointState& endpoint,
                                 std::chrono::milliseconds longest_idle, net::SteadyTime now);
 
+  /// Tells whether an idle connection to an endpoint is open.
+  [[nodiscard]] bool HasOpen(const EndpointState& endpoint) const;
+
   /// Adds a connection after a complete answer.
   void Return(Connection connection, net::SteadyTime now);
 
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -1,20 +1,40 @@
 #include "gateway/internal/endpoint_check.h"
 
+#include <array>
+
 namespace lentilhead::gateway::internal {
 
 namespace {
 
+using std::chrono::milliseconds;
+
 // Far above a round trip; the caller of the request waits for the check.
-constexpr std::chrono::milliseconds kCheckLimit{50};
+constexpr milliseconds kConnectLimit{50};
+// A process that accepts connections for an endpoint that is down drops them within a round trip.
+constexpr milliseconds kDropLimit{20};
 
 }  // namespace
 
-net::asio::awaitable<bool> EndpointCheck::HasEnded(net::asio::any_io_executor executor,
-                                                   net::tcp::endpoint address) {
+net::asio::awaitable<EndpointFate> EndpointCheck::Observe(net::asio::any_io_executor executor,
+                                                          const ConnectionPool& pool,
+                                                          const EndpointState& endpoint) {
+  const net::tcp::endpoint address = endpoint.entry.address;
   net::beast::tcp_stream stream(executor);
-  stream.expires_after(kCheckLimit);
-  const auto [error] = co_await stream.async_connect(address, net::kAwaitWithError);
-  co_return error == net::asio::error::connection_refused;
+  stream.expires_after(kConnectLimit);
+  const auto [connect_error] = co_await stream.async_connect(address, net::kAwaitWithError);
+  if (connect_error) {
+    co_return connect_error == net::asio::error::connection_refused ? EndpointFate::kEnded
+                                                                    : EndpointFate::kUnknown;
+  }
+  if (pool.HasOpen(endpoint)) {
+    co_return EndpointFate::kAlive;
+  }
+  std::array<char, 1> byte{};
+  stream.expires_after(kDropLimit);
+  const auto [read_error, read] =
+      co_await stream.async_read_some(net::asio::buffer(byte), net::kAwaitWithError);
+  const bool is_dropped = read_error && read_error != net::beast::error::timeout;
+  co_return is_dropped ? EndpointFate::kEnded : EndpointFate::kUnknown;
 }
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -1,17 +1,20 @@
 #pragma once
 
+#include "gateway/internal/connection_pool.h"
+#include "gateway/types/endpoint_fate.h"
 #include "net/http_types.h"
 
 namespace lentilhead::gateway::internal {
 
-/// Tells a process that ended from a connection that was lost.
+/// Tells an endpoint that ended from a single connection that was lost.
 class EndpointCheck {
  public:
-  /// Tells whether an address refuses connections, which means that the process behind it has
-  /// ended. An address that gives no answer in time is not known to have ended.
-  /// @param address address of the endpoint.
-  [[nodiscard]] static net::asio::awaitable<bool> HasEnded(net::asio::any_io_executor executor,
-                                                           net::tcp::endpoint address);
+  /// Opens a connection to an endpoint and watches what becomes of it. While an endpoint is down,
+  /// another process, such as a supervisor, may still accept connections at its address.
+  /// @param pool idle connections, of which an open one shows that the endpoint is alive.
+  [[nodiscard]] static net::asio::awaitable<EndpointFate> Observe(
+      net::asio::any_io_executor executor, const ConnectionPool& pool,
+      const EndpointState& endpoint);
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -29,22 +29,25 @@
   this->gateway.quarantine.RecordAnswer(is_success ? keys : PromptKeys{{}, keys.own}, net::Now());
 }
 
-awaitable<bool> OnlineRun::RecordIfEnded(const EndpointLease& lease, std::string_view cause) {
+awaitable<EndpointFate> OnlineRun::RecordLoss(const EndpointLease& lease, std::string_view cause) {
   if (!IsConnectionLoss(cause) || this->stage == AttemptStage::kAnswering) {
-    co_return false;
+    co_return EndpointFate::kUnknown;
   }
   const net::SteadyTime lost_at = net::Now();
-  const bool ended =
-      co_await EndpointCheck::HasEnded(this->gateway.executor, lease.Endpoint().entry.address);
-  if (ended) {
+  const EndpointFate fate =
+      co_await EndpointCheck::Observe(this->gateway.executor, this->gateway.pool, lease.Endpoint());
+  const bool ended = fate == EndpointFate::kEnded;
+  const bool is_stale = cause == NameOf(AttemptFailure::kStale);
+  if (ended || (fate == EndpointFate::kUnknown && !is_stale)) {
     InferenceRequest& request = this->routed.request;
     request.keys.own = platform::RequestKeyOf(request.message);
-    const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage};
+    const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage,
+                         ended};
     this->gateway.quarantine.RecordEnd(end, lost_at);
     this->retry_pause = this->gateway.quarantine.PauseBeforeRetry(end);
     this->may_send_again = this->gateway.quarantine.MaySendAgain(end);
   }
-  co_return ended;
+  co_return fate;
 }
 
 awaitable<void> OnlineRun::AwaitSuspicion() {
@@ -91,7 +94,7 @@
   if (cause != NameOf(AttemptFailure::kStale) && !this->silence_recorded) {
     EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), unreachable);
   }
-  const bool ended = co_await this->RecordIfEnded(lease, cause);
+  const EndpointFate fate = co_await this->RecordLoss(lease, cause);
   this->gateway.metrics
       .GetCounter("gateway_attempt_failures_total", {{"cause", std::string(cause)}})
       .Add();
@@ -105,7 +108,8 @@
       .With("unfinished_bytes", this->unfinished_bytes)
       .With("suspect_failures", lease.Endpoint().failures_in_row)
       .With("stage", NameOf(this->stage))
-      .With("endpoint_ended", ended)
+      .With("endpoint_ended", fate == EndpointFate::kEnded)
+      .With("endpoint_alive", fate == EndpointFate::kAlive)
       .With("parts", FormatPartKeys(this->routed.request.keys.shared))
       .With("request_key", this->routed.request.keys.own
                                ? FormatPartKey(*this->routed.request.keys.own)
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -11,6 +11,7 @@
 #include "gateway/internal/event_splitter.h"
 #include "gateway/internal/silence_watch.h"
 #include "gateway/types/attempt_stage.h"
+#include "gateway/types/endpoint_fate.h"
 #include "gateway/types/routed_request.h"
 
 namespace lentilhead::gateway::internal {
@@ -62,8 +63,8 @@
   /// Whether the connection to an endpoint was lost before the whole answer was received.
   [[nodiscard]] static bool IsConnectionLoss(std::string_view cause);
   /// Finds out whether the endpoint ended before it sent the first event or a whole answer, and
-  /// records it as evidence on the request and the parts of its prompt. @return whether it ended.
-  net::asio::awaitable<bool> RecordIfEnded(const EndpointLease& lease, std::string_view cause);
+  /// records it as evidence on the request and the parts of its prompt.
+  net::asio::awaitable<EndpointFate> RecordLoss(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterFailure(const EndpointLease& lease, std::string_view cause);
   net::asio::awaitable<Step> AfterNotExecuted(const EndpointLease& lease, AnswerHead answer,
                                               EndpointAttempt& attempt);
--- /dev/null
+++ b/src/gateway/types/endpoint_fate.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace lentilhead::gateway {
+
+/// What is known of an endpoint after a connection to it was lost.
+enum class EndpointFate {
+  kAlive,    ///< another connection to it is still open
+  kUnknown,  ///< it accepts connections or does not answer
+  kEnded,    ///< its address refuses or drops connections
+};
+
+}  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -82,14 +82,17 @@
   report.outcome = co_await this->Attempt(host);
   report.stage = this->stage;
   const bool may_have_ended = this->is_connection_lost && this->stage != AttemptStage::kAnswering;
-  if (may_have_ended && !this->cancel.IsCancelled()) {
-    report.endpoint_ended = co_await gateway::internal::EndpointCheck::HasEnded(
-        this->gateway.executor, this->lease.Endpoint().entry.address);
+  if (!may_have_ended || this->cancel.IsCancelled()) {
+    co_return report;
   }
+  const net::SteadyTime lost_at = net::Now();
+  const gateway::EndpointFate fate = co_await gateway::internal::EndpointCheck::Observe(
+      this->gateway.executor, this->gateway.pool, this->lease.Endpoint());
+  report.endpoint_ended = fate == gateway::EndpointFate::kEnded;
   if (report.endpoint_ended) {
     const ItemSpec& spec = this->items.Spec(this->item);
     this->gateway.quarantine.RecordEnd(
-        {spec.id, spec.keys, this->lease.Endpoint().incarnation, this->stage}, net::Now());
+        {spec.id, spec.keys, this->lease.Endpoint().incarnation, this->stage}, lost_at);
   }
   co_return report;
 }
