Let a large answer release the request and the parts that it answers

What callers saw: a request, or all requests with a part, that had been held stayed held after an answer of more than 256 KB to its probe, for two hours or until a smaller answer.

Cause: answers that exceed the buffer are forwarded piece by piece on a path of its own, which recorded no answer as evidence. Change: the answer is recorded once the buffer is full, before the paths part.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -69,14 +69,14 @@
     co_await this->Fail(status::bad_gateway, "endpoint_error");
     co_return Step::kDone;
   }
+  if (answer.decoded.is_signed && !answer.decoded.not_executed) {
+    this->RecordAnswer(code / 100 == 2);
+  }
   if (body.state == BodyState::kMore) {
     co_return co_await this->ForwardLargeAnswer(attempt, lease, std::move(answer),
                                                 std::move(body.bytes));
   }
   EndpointFeedback::RecordUnitLatency(lease.Endpoint(), net::Now() - this->routed.arrival);
-  if (answer.decoded.is_signed && !answer.decoded.not_executed) {
-    this->RecordAnswer(code / 100 == 2);
-  }
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
   const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
   const char* outcome = sent ? "served" : "gone";
