--- a/src/gateway/tests/quarantine_simulation.cc
+++ b/src/gateway/tests/quarantine_simulation.cc
@@ -240,7 +240,8 @@
   }
 }
 
-void QuarantineSimulation::NoteHeld(PromptKeys keys, PartKey part, std::set<PartKey>& held) const {
+void QuarantineSimulation::NoteHeld(const PromptKeys& keys, PartKey part,
+                                    std::set<PartKey>& held) const {
   for (const Node& node : this->nodes) {
     if (!std::holds_alternative<PartsAllowed>(node.quarantine.Check(keys, this->now))) {
       held.insert(part);
--- a/src/gateway/tests/quarantine_simulation.h
+++ b/src/gateway/tests/quarantine_simulation.h
@@ -90,7 +90,7 @@
   void Send(Request request);
   /// Draws the node and the sound parts of a request.
   [[nodiscard]] Request MakeRequest(bool is_bad);
-  void NoteHeld(PromptKeys keys, PartKey part, std::set<PartKey>& held) const;
+  void NoteHeld(const PromptKeys& keys, PartKey part, std::set<PartKey>& held) const;
   void Begin(std::size_t endpoint, std::uint64_t attempt);
   void Answer(std::size_t endpoint, std::uint64_t attempt);
   void End(std::size_t endpoint);
