Refuse a held request at once although an endpoint has just ended under it

What callers saw: for up to 0.6 s after an endpoint had ended under a request, one with the same content waited although it was held already, and was refused only then.

Cause: the pause before a send looked at the ends alone. Change: it is 0 while the key is held.

Before: "requests that are held do not wait before they are refused" failed (254 ms); after: it passes.

--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -216,9 +216,11 @@
                                              net::SteadyTime now) const {
   const auto found = keys.own ? this->suspects.find(*keys.own) : this->suspects.end();
   const std::uint32_t own_id = KeyOf(request_id);
+  if (found == this->suspects.end() || this->held.contains(found->first)) {
+    return milliseconds(0);
+  }
   // The request that lost its endpoint first goes on, so that it finds out for all others.
-  if (found == this->suspects.end() || found->second.ends.empty() ||
-      found->second.ends.front().request == own_id) {
+  if (found->second.ends.empty() || found->second.ends.front().request == own_id) {
     return milliseconds(0);
   }
   net::SteadyTime until = now;
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -63,7 +63,7 @@
 
   /// Decides how long a request waits because another one with the same content has just ended an
   /// endpoint. What becomes of that one, and of others that were sent already, is known soon.
-  /// @return 0 if there is no such request.
+  /// @return 0 if there is no such request, or if requests with this content are held.
   [[nodiscard]] std::chrono::milliseconds PauseBeforeSend(const PromptKeys& keys,
                                                           const std::string& request_id,
                                                           net::SteadyTime now) const;
--- a/src/gateway/tests/part_quarantine_test.cc
+++ b/src/gateway/tests/part_quarantine_test.cc
@@ -155,6 +155,14 @@
         milliseconds(0));
 }
 
+TEST_CASE_FIXTURE(Fixture, "requests that are held do not wait before they are refused") {
+  const PromptKeys keys{{}, kRequest};
+  this->EndRequest(keys);
+  this->EndRequest(keys);
+  REQUIRE(this->IsRequestHeld({{}, kRequest}));
+  CHECK(this->quarantine.PauseBeforeSend(keys, "other", this->now) == milliseconds(0));
+}
+
 TEST_CASE_FIXTURE(Fixture, "requests do not wait for one that only lost its connection") {
   const PromptKeys keys{{}, kRequest};
   this->quarantine.RecordEnd({"first", keys, 1, AttemptStage::kUnanswered, false}, this->now);
