--- a/src/gateway/shared_limit.h
+++ b/src/gateway/shared_limit.h
@@ -73,9 +73,6 @@
   /// Time of the last naming to any node.
   [[nodiscard]] net::SteadyTime NamedAt() const { return this->named_at; }
 
-  /// Time of the last naming to this node; epoch if there was none.
-  [[nodiscard]] net::SteadyTime OwnNamedAt() const { return this->own_named_at; }
-
  private:
   /// What a peer reported last.
   struct PeerPart {
