Take one verdict a send and one digest a request, and keep no count of suspects

Found on rereading the change: TryEndpoint asked the quarantine twice before each send (whether the request is held, then whether it is a probe), RecordLoss computed the key of a request again though it was known, and a count of suspected requests was kept in four places that follows from the list of suspects. The time by which requests are staggered is a duration.

--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -16,14 +16,18 @@
          cause == kStreamCutCause || cause == kBodyCutCause;
 }
 
-const PromptKeys& OnlineRun::Keys() {
+const PromptKeys& OnlineRun::AllKeys() {
   InferenceRequest& request = this->routed.request;
-  if (!request.keys.own && this->gateway.quarantine.KnowsRequests()) {
+  if (!request.keys.own) {
     request.keys.own = platform::RequestKeyOf(request.message);
   }
   return request.keys;
 }
 
+const PromptKeys& OnlineRun::Keys() {
+  return this->gateway.quarantine.HasEvidence() ? this->AllKeys() : this->routed.request.keys;
+}
+
 void OnlineRun::RecordAnswer(bool is_success) {
   const PromptKeys& keys = this->Keys();
   this->gateway.quarantine.RecordAnswer(is_success ? keys : PromptKeys{{}, keys.own}, net::Now());
@@ -39,10 +43,8 @@
   const bool ended = fate == EndpointFate::kEnded;
   const bool is_stale = cause == NameOf(AttemptFailure::kStale);
   if (ended || (fate == EndpointFate::kUnknown && !is_stale)) {
-    InferenceRequest& request = this->routed.request;
-    request.keys.own = platform::RequestKeyOf(request.message);
-    const RequestEnd end{request.id, request.keys, lease.Endpoint().incarnation, this->stage,
-                         ended};
+    const RequestEnd end{this->routed.request.id, this->AllKeys(), lease.Endpoint().incarnation,
+                         this->stage, ended};
     this->gateway.quarantine.RecordEnd(end, lost_at);
     this->retry_pause = this->gateway.quarantine.PauseBeforeRetry(end);
     this->may_send_again = this->gateway.quarantine.MaySendAgain(end);
@@ -64,26 +66,14 @@
   }
 }
 
-awaitable<bool> OnlineRun::RefuseIfHeld(EndpointLease* lease) {
-  const PartVerdict verdict = this->gateway.quarantine.Check(this->Keys(), net::Now());
-  const auto* held = std::get_if<PartHeld>(&verdict);
-  if (held == nullptr) {
-    co_return false;
-  }
-  if (lease != nullptr) {
-    lease->Release();
-  }
-  this->held_part = held->part;
-  const bool is_request = held->part == this->routed.request.keys.own;
-  co_await this->Refuse(is_request ? "request_held" : "part_held", held->retry_after);
-  co_return true;
+PartVerdict OnlineRun::Verdict() {
+  return this->gateway.quarantine.Check(this->Keys(), net::Now());
 }
 
-void OnlineRun::RecordIfProbe(net::SteadyTime now) {
-  const PartVerdict verdict = this->gateway.quarantine.Check(this->Keys(), now);
-  if (const auto* probe = std::get_if<PartProbe>(&verdict)) {
-    this->gateway.quarantine.RecordProbe(probe->part, now);
-  }
+awaitable<void> OnlineRun::RefuseHeld(PartHeld held) {
+  this->held_part = held.part;
+  const bool is_request = held.part == this->routed.request.keys.own;
+  co_await this->Refuse(is_request ? "request_held" : "part_held", held.retry_after);
 }
 
 awaitable<OnlineRun::Step> OnlineRun::AfterFailure(const EndpointLease& lease,
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -189,8 +189,9 @@
       co_return;
     }
     co_await this->AwaitSuspicion();
-    const bool is_held = co_await this->RefuseIfHeld();
-    if (is_held) {
+    const PartVerdict verdict = this->Verdict();
+    if (const auto* held = std::get_if<PartHeld>(&verdict)) {
+      co_await this->RefuseHeld(*held);
       co_return;
     }
     AdmissionOutcome admitted = co_await this->AcquireSlot();
@@ -241,12 +242,16 @@
 }
 
 awaitable<OnlineRun::Step> OnlineRun::TryEndpoint(EndpointLease lease) {
-  const bool is_held = co_await this->RefuseIfHeld(&lease);
-  if (is_held) {
+  const PartVerdict verdict = this->Verdict();
+  if (const auto* held = std::get_if<PartHeld>(&verdict)) {
+    lease.Release();
+    co_await this->RefuseHeld(*held);
     co_return Step::kDone;
   }
   const net::SteadyTime now = net::Now();
-  this->RecordIfProbe(now);
+  if (const auto* probe = std::get_if<PartProbe>(&verdict)) {
+    this->gateway.quarantine.RecordProbe(probe->part, now);
+  }
   const Route& route = *this->routed.route;
   this->framing.reset();
   this->unfinished_bytes = 0;
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -70,15 +70,16 @@
                                               EndpointAttempt& attempt);
   /// Keys by which the request may match evidence.
   const PromptKeys& Keys();
+  /// Keys of the request, with that of the request as a whole.
+  const PromptKeys& AllKeys();
   /// Records that an endpoint answered. @param is_success whether the parts of the prompt are
   /// answered, too.
   void RecordAnswer(bool is_success);
   /// Waits while another request with the same content is suspected to end endpoints.
   net::asio::awaitable<void> AwaitSuspicion();
-  /// Refuses the request if it, or a part of its prompt, is held back.
-  /// @param lease slot to release first, if there is one.
-  /// @return whether it was refused.
-  net::asio::awaitable<bool> RefuseIfHeld(EndpointLease* lease = nullptr);
+  /// Whether the request may be sent, by the evidence on it and on the parts of its prompt.
+  [[nodiscard]] PartVerdict Verdict();
+  net::asio::awaitable<void> RefuseHeld(PartHeld held);
   net::asio::awaitable<void> Refuse(std::string_view reason);
   net::asio::awaitable<void> Refuse(std::string_view reason, std::chrono::milliseconds wait);
   net::asio::awaitable<void> Fail(net::http::status status, std::string_view reason);
@@ -88,8 +89,6 @@
   net::asio::awaitable<void> Pause(std::chrono::milliseconds span);
 
   [[nodiscard]] bool MayRetry() const;
-  /// Records the probe of a held part, if this attempt is one.
-  void RecordIfProbe(net::SteadyTime now);
   /// Whether the caller can no longer be told that the request has not run.
   [[nodiscard]] bool HasBegun() const { return this->stream_begun || this->record.maybe_run; }
   /// Leaves the silent endpoint for another one that can take the request, if there is one.
--- a/src/gateway/internal/part_quarantine.cc
+++ b/src/gateway/internal/part_quarantine.cc
@@ -33,7 +33,7 @@
 // Longer than it takes another such request to end its endpoint and the nodes to hear of it.
 constexpr milliseconds kSuspectPause{300};
 // Requests that waited for the same evidence go on one after the other.
-constexpr std::uint32_t kMaxStaggerMs = 300;
+constexpr milliseconds kMaxStagger{300};
 // Ends under one part that are further apart are chance.
 constexpr seconds kEndLifetime{60};
 // The same request may come once a minute.
@@ -152,7 +152,6 @@
   Suspect& suspect = found->second;
   suspect.depth = std::max(suspect.depth, depth);
   if (is_new) {
-    this->suspected_requests += suspect.IsRequest() ? 1 : 0;
     suspect.last_answer = this->answered.LastAnswer(part).value_or(net::SteadyTime{});
   }
   return suspect;
@@ -223,10 +222,11 @@
   if (found->second.ends.empty() || found->second.ends.front().request == own_id) {
     return milliseconds(0);
   }
+  const milliseconds pause = kSuspectPause + milliseconds(own_id) % kMaxStagger;
   net::SteadyTime until = now;
   for (const TimedEnd& end : found->second.ends) {
     if (end.weight > EndWeight::kMin) {
-      until = std::max(until, end.at + kSuspectPause + milliseconds(own_id % kMaxStaggerMs));
+      until = std::max(until, end.at + pause);
     }
   }
   return net::ToMilliseconds(until - now);
@@ -244,10 +244,10 @@
 
 bool PartQuarantine::MaySendAgain(const RequestEnd& end) const {
   const auto found = end.keys.own ? this->suspects.find(*end.keys.own) : this->suspects.end();
-  if (found != this->suspects.end() && this->held.contains(found->first)) {
-    return false;
+  if (found == this->suspects.end()) {
+    return true;
   }
-  return found == this->suspects.end() ||
+  return !this->held.contains(found->first) &&
          Weigh(found->second, this->EndpointsExplained()).times < kHoldRequestTimes;
 }
 
@@ -349,12 +349,6 @@
     });
     this->suspects.erase(least);
   }
-  this->CountRequests();
-}
-
-void PartQuarantine::CountRequests() {
-  this->suspected_requests = static_cast<std::size_t>(std::ranges::count_if(
-      this->suspects, [](const auto& entry) { return entry.second.IsRequest(); }));
 }
 
 void PartQuarantine::Prune(net::SteadyTime now) {
@@ -372,7 +366,6 @@
     return !has_evidence && now - suspect.last_changed >= lifetime;
   });
   if (this->suspects.size() != before) {
-    this->CountRequests();
     this->NoteChange();
     this->UpdateHeld(now);
   }
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -47,8 +47,8 @@
   /// Sets the function that is called after each change of the evidence.
   void OnChange(std::function<void()> callback) { this->on_change = std::move(callback); }
 
-  /// Whether evidence on a whole request exists, so that PromptKeys::own may match it.
-  [[nodiscard]] bool KnowsRequests() const { return this->suspected_requests > 0; }
+  /// Whether there is evidence that PromptKeys::own may match.
+  [[nodiscard]] bool HasEvidence() const { return !this->suspects.empty(); }
 
   /// Records that an endpoint answered a request with these keys: its first event or all of it.
   void RecordAnswer(const PromptKeys& keys, net::SteadyTime now);
@@ -145,13 +145,11 @@
   void UpdateHeld(net::SteadyTime now);
   void LogHeld(PartKey part, net::SteadyTime now) const;
   void MakeRoom();
-  void CountRequests();
 
   TurnCheck is_own_turn;
   std::function<void()> on_change;
   AnsweredParts answered;
   Suspects suspects;
-  std::size_t suspected_requests = 0;
   std::set<PartKey> held;
   std::uint64_t version = 0;
 };
