--- a/src/gateway/internal/quarantine_exchange.cc
+++ b/src/gateway/internal/quarantine_exchange.cc
@@ -62,7 +62,7 @@
     this->NoteAnswer(evidence.part, at, now);
   }
   for (const PartEnd& end : evidence.ends) {
-    const int weight = std::clamp(end.weight, EndWeight::kMin, EndWeight::kMax);
+    const int weight = std::clamp(end.weight, EndWeight::kUncertain, EndWeight::kBegun);
     const milliseconds age = std::max(end.age, milliseconds(0));
     changed = AddEnd(suspect, {end.endpoint, end.request, weight, now - age}) || changed;
   }
--- a/src/gateway/part_quarantine.h
+++ b/src/gateway/part_quarantine.h
@@ -95,6 +95,9 @@
   [[nodiscard]] std::size_t HeldCount() const { return this->held.size(); }
 
  private:
+  /// Ends at fewer times may have one cause outside the requests.
+  static constexpr std::size_t kMinTimes = 2;
+
   /// An end, with its time at this node.
   struct TimedEnd {
     std::uint32_t endpoint = 0;
--- a/src/gateway/types/end_weight.h
+++ b/src/gateway/types/end_weight.h
@@ -2,10 +2,11 @@
 
 namespace lentilhead::gateway {
 
-/// Bounds of the weight of an end as evidence.
+/// Weights of an end as evidence.
 struct EndWeight {
-  static constexpr int kMin = 1;  ///< only the connection is known to be lost
-  static constexpr int kMax = 4;  ///< the endpoint ended, and the answer had begun
+  static constexpr int kUncertain = 1;   ///< only the connection is known to be lost
+  static constexpr int kUnanswered = 2;  ///< the endpoint ended; the request may still have waited
+  static constexpr int kBegun = 4;       ///< the endpoint ended, and the answer had begun
 };
 
 }  // namespace lentilhead::gateway
