--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -12,7 +12,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "platform" / "tests"))
-from node_fleet import Fleet, read_answer, request_bytes  # noqa: E402,F401
+from node_fleet import HOST, Fleet, read_answer, request_bytes  # noqa: E402,F401
 from store_standin import Store, http_answer, read_message  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
