--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 from platform_standin import TROUBLE, DeployedFleet, job_body, main  # noqa: E402
 
 ITEMS = 24          # of one job
-OUTAGE_S = 4.8      # of the part with the tables op, servers and nodes
+OUTAGE_S = 6.5      # of the part with the tables op, servers and nodes
 JOBS = ["a1", "a2", "a3"]
 
 
