--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Exit status: 1 rule broken, 0 rule held, 2 could not run. TROUBLE=0 leaves the disruption out.
+# Writes record.txt. Exit status: 1 rule broken, 0 rule held, 2 could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")"
 python3 -B case.py
 case $? in
