--- a/review/platform_standin.py
+++ b/review/platform_standin.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import shlex
+import signal
 import sys
 import tomllib
 import urllib.parse
@@ -125,6 +126,13 @@
                 *RUN_WORDS, cwd=ROOT, stdout=log, stderr=log,
                 env={"PATH": os.environ.get("PATH", ""), "HOME": self.folder.name, "LENTILHEAD_BOOT": path})
 
+    async def __aenter__(self):
+        try:
+            return await super().__aenter__()
+        except BaseException:  # without this nobody would end the nodes that have started
+            await self.__aexit__(None, None, None)
+            raise
+
     def log_lines(self, word):
         lines = []
         for name in self.names:
@@ -143,8 +151,14 @@
     """Runs a case; exits with 10 if the rule was broken, 0 if it held, else 2."""
     async def run():
         record = Record(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):  # a case that is stopped ends its processes, too
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             broken = await asyncio.wait_for(case(record), 115)
+        except asyncio.CancelledError:
+            record.note("stopped by a signal")
+            return 2
         except Exception as error:  # whatever kept the case from running
             record.note(f"could not run: {type(error).__name__} {error}")
             return 2
