Keep the items of a job while no configuration has been read

Cause: claims of jobs are in other partitions, so a new process owns jobs before it has read a configuration. RouteTable::Match returns null for a missing route and for a table without a configuration; NextStart took both for a removed route and gave the items up after 3 s.

Change: JobRoute tells present, missing and unknown apart. Only a missing route starts the grace period; while the route is unknown the items wait and job_waits_for_config is logged.

Related paths, checked by reading: requests and calls on jobs are refused with 503 until a configuration and the endpoints are known; quotas are not counted without them; items need a choice among known endpoints; removal of expired jobs and abandoned submissions depends on claims only.

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <utility>
 
 #include "jobs/internal/item_run.h"
 #include "jobs/internal/unix_time.h"
+#include "jobs/job_route.h"
 #include "jobs/job_service.h"
 #include "net/backoff.h"
 #include "net/log_line.h"
@@ -27,12 +29,18 @@
 
 }  // namespace
 
-void JobService::GiveUpIfRouteMissing(const Job& job, bool exists) {
-  const net::SteadyTime now = net::Now();
-  if (exists) {
+void JobService::NoteRoute(const Job& job, RouteState state) {
+  const bool was_unknown = std::exchange(job->is_route_unknown, state == RouteState::kUnknown);
+  if (job->is_route_unknown && !was_unknown) {
+    net::LogLine("job_waits_for_config")
+        .With("job", job->claim.job)
+        .With("config", this->gateway.routes.Version());
+  }
+  if (state != RouteState::kMissing) {
     job->route_missing_since = {};
     return;
   }
+  const net::SteadyTime now = net::Now();
   if (job->route_missing_since == net::SteadyTime{}) {
     job->route_missing_since = now;
   }
@@ -87,14 +95,14 @@
     if (!item) {
       continue;
     }
-    const gateway::Route* route =
-        this->gateway.routes.Match(job->claim.host, job->items.Spec(*item).path);
-    const bool exists = route != nullptr && route->kind == gateway::RouteKind::kBatch;
-    this->GiveUpIfRouteMissing(job, exists);
-    if (!exists) {
+    const std::string& path = job->items.Spec(*item).path;
+    const RouteState state = JobRoute::StateOf(this->gateway.routes, job->claim, path);
+    this->NoteRoute(job, state);
+    if (state != RouteState::kPresent) {
       continue;
     }
-    const std::string service = gateway::RouteTable::PickService(*route, net::RandomFraction());
+    const gateway::Route& route = *this->gateway.routes.Match(job->claim.host, path);
+    const std::string service = gateway::RouteTable::PickService(route, net::RandomFraction());
     if (full.contains(service)) {
       continue;
     }
--- a/src/jobs/internal/owned_job.h
+++ b/src/jobs/internal/owned_job.h
@@ -33,7 +33,8 @@
   bool is_saving_progress = false;
   net::SteadyTime last_saved;
   bool is_handing_over = false;         ///< no further item is started
-  net::SteadyTime route_missing_since;  ///< epoch while the route of the job exists
+  net::SteadyTime route_missing_since;  ///< epoch unless the configuration lacks the job's route
+  bool is_route_unknown = false;        ///< the node has no configuration that tells
 };
 
 }  // namespace lentilhead::jobs::internal
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -15,6 +15,7 @@
 #include "jobs/job_directory.h"
 #include "jobs/job_store.h"
 #include "jobs/token_drain.h"
+#include "jobs/types/route_state.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
 
@@ -118,7 +119,8 @@
   void RecordPace(internal::OwnedJob& job, const internal::ItemAttempt& attempt, bool completed);
   void StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease);
   void GiveUpLateItems(const Job& job);
-  void GiveUpIfRouteMissing(const Job& job, bool exists);
+  /// Gives up the rest of a job once its route has been removed.
+  void NoteRoute(const Job& job, RouteState state);
   void TakeOverOrphans();
   void RemoveExpiredJobs();
   void RemoveAbandonedSubmissions();
--- /dev/null
+++ b/src/jobs/tests/job_route_test.cc
@@ -0,0 +1,48 @@
+#include "jobs/job_route.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+
+namespace lentilhead::jobs {
+namespace {
+
+constexpr char kHost[] = "h";
+constexpr char kPath[] = "/batch/x";
+
+Claim ClaimOfJob() {
+  Claim claim;
+  claim.job = "job";
+  claim.host = kHost;
+  return claim;
+}
+
+std::shared_ptr<const gateway::ServingConfig> ConfigOf(std::int64_t version,
+                                                       gateway::RouteKind kind) {
+  gateway::Route route;
+  route.host = kHost;
+  route.path_prefix = "/batch/";
+  route.kind = kind;
+  auto config = std::make_shared<gateway::ServingConfig>();
+  config->version = version;
+  config->routes.push_back(std::move(route));
+  return config;
+}
+
+// Guards against items that are given up because a node has never read a configuration.
+TEST_CASE("the route of a job is unknown until a configuration has been read") {
+  const gateway::RouteTable routes;
+  CHECK(JobRoute::StateOf(routes, ClaimOfJob(), kPath) == RouteState::kUnknown);
+}
+
+TEST_CASE("a route for batch jobs is present, any other is missing") {
+  gateway::RouteTable routes;
+  routes.Adopt(ConfigOf(1, gateway::RouteKind::kBatch));
+  CHECK(JobRoute::StateOf(routes, ClaimOfJob(), kPath) == RouteState::kPresent);
+  CHECK(JobRoute::StateOf(routes, ClaimOfJob(), "/other/x") == RouteState::kMissing);
+  routes.Adopt(ConfigOf(2, gateway::RouteKind::kIdempotent));
+  CHECK(JobRoute::StateOf(routes, ClaimOfJob(), kPath) == RouteState::kMissing);
+}
+
+}  // namespace
+}  // namespace lentilhead::jobs
