Refuse oversized requests with 503 while no configuration has been read

Callers of a node that had just started could get 431 or 413 for a request that the configuration allows: the limits in force were the defaults of CallerLimits until a configuration was read, and a rejection is final for callers.

Change: without a configuration a request beyond a limit is refused with 503 and Retry-After (not_ready), as any other request is then.

Test: gateway_tests, a request beyond the default limits is refused while there is no configuration. Without this change the answers are 431 and 413.

--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -60,6 +60,9 @@
   net::asio::awaitable<void> RefuseUnrouted(CallerSession& session, const InferenceRequest& request,
                                             const char* reason,
                                             std::chrono::milliseconds retry_after);
+  /// Refuses a request while the configuration or the endpoints are not known.
+  net::asio::awaitable<void> RefuseNotReady(CallerSession& session,
+                                            const InferenceRequest& request);
   /// Whether a request needs the API key of a customer. The configuration must not be null.
   [[nodiscard]] bool MustAuthenticate(const InferenceRequest& request, const RoutedRequest& routed);
   /// Asks whether the quota of the customer allows a request, and refuses it if not.
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -41,6 +41,11 @@
          message.find(net::http::field::content_length) != message.end();
 }
 
+/// Tells whether a request was not read because it exceeds a limit of the configuration.
+bool IsOverLimit(ReadProblem problem) {
+  return problem == ReadProblem::kHeaderTooLarge || problem == ReadProblem::kBodyTooLarge;
+}
+
 }  // namespace
 
 CallerServer::CallerServer(Gateway& gateway, JobHandler jobs, milliseconds longest_job_call,
@@ -139,7 +144,13 @@
     std::variant<net::Request, ReadProblem> read =
         co_await session->ReadRequest([this] { return this->LimitsInForce(); });
     if (const auto* problem = std::get_if<ReadProblem>(&read)) {
-      co_await this->AnswerProblem(*session, *problem);
+      if (IsOverLimit(*problem) && this->gateway.routes.Config() == nullptr) {
+        // The configuration may allow more than the default limits.
+        const InferenceRequest unread;
+        co_await this->RefuseNotReady(*session, unread);
+      } else {
+        co_await this->AnswerProblem(*session, *problem);
+      }
       session->Abort();
       break;
     }
@@ -228,6 +239,15 @@
   co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
 }
 
+awaitable<void> CallerServer::RefuseNotReady(CallerSession& session,
+                                             const InferenceRequest& request) {
+  const std::shared_ptr<const ServingConfig>& config = this->gateway.routes.Config();
+  const bool has_customers = config != nullptr && !config->customers.IsEmpty();
+  co_await this->RefuseUnrouted(
+      session, request, "not_ready",
+      RefusalPolicy::RetryAfterNotReady(has_customers, net::RandomFraction()));
+}
+
 bool CallerServer::MustAuthenticate(const InferenceRequest& request, const RoutedRequest& routed) {
   if (routed.config->customers.IsEmpty()) {
     return false;
@@ -306,10 +326,7 @@
   routed.arrival = net::Now();
   routed.config = this->gateway.routes.Config();
   if (!this->gateway.CanServe()) {
-    const bool has_customers = routed.config != nullptr && !routed.config->customers.IsEmpty();
-    co_await this->RefuseUnrouted(
-        session, request, "not_ready",
-        RefusalPolicy::RetryAfterNotReady(has_customers, net::RandomFraction()));
+    co_await this->RefuseNotReady(session, request);
     co_return;
   }
   routed.route = this->gateway.routes.Match(request.host, request.path);
--- a/src/gateway/tests/caller_server_test.cc
+++ b/src/gateway/tests/caller_server_test.cc
@@ -54,5 +54,39 @@
   CHECK(error == asio::error::eof);
 }
 
+// Guards against requests that are rejected by default limits while the configured ones, which may
+// be wider, have not been read.
+TEST_CASE("a request beyond the default limits is refused while there is no configuration") {
+  asio::io_context loop{1};
+  Gateway gateway(loop.get_executor(), "a");
+  CallerServer server(
+      gateway,
+      [](const InferenceRequest&, const RoutedRequest&, CancelScope&)
+          -> asio::awaitable<net::Response> { co_return net::Response(); },
+      milliseconds(1000), [](const InferenceRequest&) { return true; });
+  net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
+  asio::co_spawn(loop, server.Accept(acceptor), asio::detached);
+  const CallerLimits defaults;
+  const std::string heads[] = {
+      "POST /x HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(defaults.header_bytes, 'a'),
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+          std::to_string(defaults.body_bytes + 1) + "\r\n\r\n"};
+  for (const std::string& head : heads) {
+    net::tcp::socket caller(loop);
+    caller.connect(acceptor.local_endpoint());
+    asio::write(caller, asio::buffer(head));
+    loop.restart();
+    loop.run_for(milliseconds(50));
+    caller.non_blocking(true);
+    net::beast::flat_buffer buffer;
+    net::Response response;
+    net::ErrorCode error;
+    net::http::read(caller, buffer, response, error);
+    CHECK_FALSE(error);
+    CHECK(response.result() == net::http::status::service_unavailable);
+    CHECK(response.find(net::http::field::retry_after) != response.end());
+  }
+}
+
 }  // namespace
 }  // namespace lentilhead::gateway
