Keep in touch with peers while the list of nodes has not been read

A node that starts while the store does not serve the list of nodes took itself for the only node: its group held its own address alone, so it sent no messages to peers. They counted it as lost and took over the jobs that it had just accepted, whose items ran again.

Cause: UpdateGroup divides the nodes that are listed, and before the first read only this node is. Change: the group stays undecided until the list has been read once; messages go to every known address meanwhile, as PeerExchange does without a group.

Test: unread_state, a_node_that_cannot_read_the_list_of_nodes_is_known_to_ its_peers. Before: n1 has node_peers_alive 1.

--- a/src/apps/node/node_groups.cc
+++ b/src/apps/node/node_groups.cc
@@ -4,6 +4,9 @@
 namespace lentilhead::node {
 
 void NodeProgram::UpdateGroup() {
+  if (!this->presence.HasList()) {
+    return;  // this node would take itself for the only one and send its peers no messages
+  }
   const peers::PeerGroups& groups = this->presence.Groups();
   const std::pair current(groups.Version(), this->gateway.registry.ListVersion());
   if (current == this->group_versions) {
