Keep the items of a job whose route a node has not read of yet

Callers saw dead letters for a job of a route that had just been added: a node that cannot read the newest configuration takes the job over after its owner is lost, finds no route in its older version and gives the items up after 3 s.

Change: the claim has the version of the configuration that the job was accepted by, and a route is missing only in a version that is as new. The field is optional: nodes of the version before ignore it, and claims that they write are judged as before.

--- a/src/gateway/tests/caller_server_test.cc
+++ b/src/gateway/tests/caller_server_test.cc
@@ -61,16 +61,16 @@
   Gateway gateway(loop.get_executor(), "a");
   CallerServer server(
       gateway,
-      [](const InferenceRequest&, const RoutedRequest&, CancelScope&)
-          -> asio::awaitable<net::Response> { co_return net::Response(); },
+      [](const InferenceRequest&, const RoutedRequest&,
+         CancelScope&) -> asio::awaitable<net::Response> { co_return net::Response(); },
       milliseconds(1000), [](const InferenceRequest&) { return true; });
   net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
   asio::co_spawn(loop, server.Accept(acceptor), asio::detached);
   const CallerLimits defaults;
   const std::string heads[] = {
       "POST /x HTTP/1.1\r\nHost: h\r\nX-A: " + std::string(defaults.header_bytes, 'a'),
-      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-          std::to_string(defaults.body_bytes + 1) + "\r\n\r\n"};
+      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(defaults.body_bytes + 1) +
+          "\r\n\r\n"};
   for (const std::string& head : heads) {
     net::tcp::socket caller(loop);
     caller.connect(acceptor.local_endpoint());
--- a/src/jobs/internal/job_api.cc
+++ b/src/jobs/internal/job_api.cc
@@ -113,6 +113,7 @@
   claim.give_up_after_ms = routed.route->give_up_after.count();
   claim.max_attempts = routed.route->max_attempts;
   claim.route = routed.route->Key();
+  claim.config_version = routed.config->version;
   claim.customer = routed.customer == nullptr ? "" : routed.customer->name;
   for (const ItemSpec& item : spec.items) {
     claim.waiting_tokens += item.tokens;
--- a/src/jobs/internal/job_route.cc
+++ b/src/jobs/internal/job_route.cc
@@ -4,12 +4,13 @@
 
 RouteState JobRoute::StateOf(const gateway::RouteTable& routes, const Claim& claim,
                              const std::string& path) {
-  if (routes.Config() == nullptr) {
-    return RouteState::kUnknown;
-  }
   const gateway::Route* route = routes.Match(claim.host, path);
-  const bool exists = route != nullptr && route->kind == gateway::RouteKind::kBatch;
-  return exists ? RouteState::kPresent : RouteState::kMissing;
+  if (route != nullptr && route->kind == gateway::RouteKind::kBatch) {
+    return RouteState::kPresent;
+  }
+  const bool may_be_added_later =
+      routes.Config() == nullptr || routes.Version() < claim.config_version;
+  return may_be_added_later ? RouteState::kUnknown : RouteState::kMissing;
 }
 
 }  // namespace lentilhead::jobs
--- a/src/jobs/internal/job_rows.cc
+++ b/src/jobs/internal/job_rows.cc
@@ -62,6 +62,9 @@
   if (!claim.customer.empty()) {
     fields["customer"] = claim.customer;
   }
+  if (claim.config_version >= 0) {
+    fields["config"] = claim.config_version;
+  }
   return Pack(fields);
 }
 
@@ -84,6 +87,7 @@
     value.at("attempts").get_to(claim.max_attempts);
     value.at("object").get_to(claim.spec_in_object);
     claim.customer = value.value("customer", "");
+    claim.config_version = value.value("config", std::int64_t{-1});
     claim.route = value.value("route", "");
     claim.waiting_tokens = value.value("tokens", std::int64_t{0});
     return claim;
--- a/src/jobs/tests/job_route_test.cc
+++ b/src/jobs/tests/job_route_test.cc
@@ -44,5 +44,20 @@
   CHECK(JobRoute::StateOf(routes, ClaimOfJob(), kPath) == RouteState::kMissing);
 }
 
+// Guards against items that are given up by a node whose configuration is older than the job's
+// route.
+TEST_CASE("a route is unknown to a configuration older than the one that the job was accepted by") {
+  gateway::RouteTable routes;
+  routes.Adopt(ConfigOf(4, gateway::RouteKind::kIdempotent));
+  Claim claim = ClaimOfJob();
+  claim.config_version = 5;
+  CHECK(JobRoute::StateOf(routes, claim, kPath) == RouteState::kUnknown);
+  routes.Adopt(ConfigOf(5, gateway::RouteKind::kIdempotent));
+  CHECK(JobRoute::StateOf(routes, claim, kPath) == RouteState::kMissing);
+  claim.config_version = 6;
+  routes.Adopt(ConfigOf(6, gateway::RouteKind::kBatch));
+  CHECK(JobRoute::StateOf(routes, claim, kPath) == RouteState::kPresent);
+}
+
 }  // namespace
 }  // namespace lentilhead::jobs
--- a/src/jobs/types/claim.h
+++ b/src/jobs/types/claim.h
@@ -28,8 +28,11 @@
   std::string customer;               ///< name of the job's customer; empty if there are none
   std::string route;                  ///< host and path prefix of the job's route
   std::int64_t waiting_tokens = 0;    ///< tokens of the items without a committed result
-  int max_attempts = 1;               ///< failed runs after which an item is given up
-  bool spec_in_object = false;        ///< the items are stored in an object, not in rows
+  /// Version of the configuration that the job was accepted by; -1 if a node of an older version
+  /// wrote the claim.
+  std::int64_t config_version = -1;
+  int max_attempts = 1;         ///< failed runs after which an item is given up
+  bool spec_in_object = false;  ///< the items are stored in an object, not in rows
   rowstore::Version version = 0;
 };
 
