Do not refuse a job whose write conflicts with an unknown claim

Cause: CommitWithClaim returned the outcome of that read, and StoreError:: kNotApplied of a read means any failure. Submission took it for the outcome of the write. Evidence: the log of the case has job_taken_over at the node that wrote, with itself as the former owner, and 1.9 s later job_not_accepted reason=nothing_done there; RowStore::Commit had reported the conflict, not an error.

Change: JobStore::ClaimAfter takes the claim from the rows that the conflict tells. If they do not hold it and the read fails, the outcome is kUnknown, which callers are told as 504. AppendResults and Withdraw use it, too.

--- a/src/jobs/internal/job_store.cc
+++ b/src/jobs/internal/job_store.cc
@@ -54,10 +54,26 @@
   if (const auto* error = std::get_if<StoreError>(&outcome)) {
     co_return CreateOutcome{*error, false};
   }
-  ClaimOutcome current = co_await this->ReadClaim(intended.job, deadline);
+  ClaimOutcome current = co_await this->ClaimAfter(std::get<rowstore::Conflict>(std::move(outcome)),
+                                                   intended.job, deadline);
   co_return CreateOutcome{std::move(current), false};
 }
 
+awaitable<ClaimOutcome> JobStore::ClaimAfter(rowstore::Conflict conflict, std::string job,
+                                             net::SteadyTime deadline) {
+  if (const rowstore::Row* row = FindRow(conflict.rows, internal::ClaimKey(job))) {
+    if (std::optional<Claim> claim = internal::DecodeClaim(*row)) {
+      co_return std::move(*claim);
+    }
+  }
+  ClaimOutcome current = co_await this->ReadClaim(std::move(job), deadline);
+  if (std::holds_alternative<StoreError>(current)) {
+    // An earlier request of the same call may be what it conflicts with.
+    co_return StoreError::kUnknown;
+  }
+  co_return current;
+}
+
 awaitable<CreateOutcome> JobStore::Create(Claim claim, std::string submission,
                                           net::SteadyTime deadline) {
   rowstore::Transaction transaction;
@@ -107,7 +123,8 @@
   if (std::holds_alternative<rowstore::Committed>(outcome)) {
     co_return NoSuchJob{};
   }
-  co_return co_await this->ReadClaim(claim.job, deadline);
+  co_return co_await this->ClaimAfter(std::get<rowstore::Conflict>(std::move(outcome)), claim.job,
+                                      deadline);
 }
 
 awaitable<rowstore::ReadOutcome> JobStore::ReadChangedClaims(rowstore::Version after) {
@@ -164,11 +181,11 @@
     claim.version = committed->version;
     co_return claim;
   }
-  const auto& rows = std::get<rowstore::Conflict>(outcome).rows;
-  const rowstore::Row* row = FindRow(rows, internal::ClaimKey(claim.job));
-  std::optional<Claim> current = row == nullptr ? std::nullopt : internal::DecodeClaim(*row);
-  if (!current || current->owner != before.owner) {
-    co_return co_await this->ReadClaim(claim.job, deadline);
+  const ClaimOutcome stored_claim = co_await this->ClaimAfter(
+      std::get<rowstore::Conflict>(std::move(outcome)), claim.job, deadline);
+  const auto* current = std::get_if<Claim>(&stored_claim);
+  if (current == nullptr || current->owner != before.owner) {
+    co_return stored_claim;
   }
   // An earlier request of this call may have been applied: then the stored results are the same.
   std::optional<std::vector<ItemResult>> stored =
@@ -184,7 +201,7 @@
   if (!same) {
     co_return StoreError::kRejected;
   }
-  co_return std::move(*current);
+  co_return *current;
 }
 
 awaitable<bool> JobStore::SaveProgress(Claim claim, std::vector<rowstore::WrittenRow> rows,
--- a/src/jobs/job_store.h
+++ b/src/jobs/job_store.h
@@ -91,10 +91,16 @@
   net::asio::awaitable<void> Remove(Claim claim, net::SteadyTime deadline);
 
  private:
-  /// Commits a transaction that also writes a claim; on a conflict, reads the claim that is stored.
+  /// Commits a transaction that also writes a claim; on a conflict, finds the claim that is stored.
   net::asio::awaitable<CreateOutcome> CommitWithClaim(rowstore::Transaction transaction,
                                                       Claim intended, net::SteadyTime deadline);
 
+  /// Returns the claim that made a transaction conflict, from the conflict or from the store.
+  /// @return kUnknown if it cannot be read: the transaction may have been applied by an earlier
+  ///   request whose answer was lost.
+  net::asio::awaitable<ClaimOutcome> ClaimAfter(rowstore::Conflict conflict, std::string job,
+                                                net::SteadyTime deadline);
+
   rowstore::RowStore& store;
   std::size_t row_bytes;
 };
