Bound the buffers of connections to callers, peers and the store

A node collected the extension of a chunk or a trailer without end in memory, so one faulty sender could end the requests of all its callers.

Cause: Beast's parser takes the head of a chunk and a trailer only when they are complete; until then they stay in a flat_buffer, which is unbounded by default. Connections to endpoints had a bound.

Change: bounds on these buffers; answers of a peer may have 8 MB, those with rows of the store 16 MB.

Test: endless_bytes.

--- a/src/apps/node/auxiliary_server.cc
+++ b/src/apps/node/auxiliary_server.cc
@@ -14,6 +14,8 @@
 constexpr milliseconds kIdleTimeout{5000};
 constexpr milliseconds kSilenceTimeout{2000};
 constexpr milliseconds kAcceptRetryDelay{20};
+// Bytes of the head, of the head of one chunk with its extensions, or of the trailer.
+constexpr std::size_t kMaxFramingBytes = 128 << 10;
 constexpr int kBacklog = 1024;  // absorbs a burst of new connections after an instance returns
 
 }  // namespace
@@ -67,7 +69,7 @@
   net::ErrorCode unknown;
   const net::tcp::endpoint caller = socket.remote_endpoint(unknown);
   net::beast::tcp_stream stream(std::move(socket));
-  net::beast::flat_buffer buffer;
+  net::beast::flat_buffer buffer{kMaxFramingBytes};
   bool keep_alive = true;
   while (keep_alive) {
     net::Request request;
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -22,6 +22,8 @@
 constexpr milliseconds kFirstRequestTime{300};
 constexpr std::size_t kReadBytes = 4096;              // bytes per read from the socket
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;  // read ahead while a request is in flight
+// Room for a read of the body, the head of a chunk with its extensions, or the trailer.
+constexpr std::size_t kMaxFramingBytes = 64 << 10;
 constexpr milliseconds kLongWrite{500};  // most writes end at once; only longer ones are watched
 // While its answer is awaited, a body is held as received and as sent.
 constexpr std::size_t kHeldBodyCopies = 2;
@@ -142,6 +144,8 @@
   }
   this->is_idle = false;
   const CallerLimits limits = source();
+  this->buffer.max_size(std::max<std::size_t>(limits.header_bytes, kMaxPipelinedBytes) +
+                        kMaxFramingBytes);
   Parser parser;
   parser.header_limit(limits.header_bytes);
   parser.body_limit(limits.body_bytes);
--- a/src/net/http_caller.cc
+++ b/src/net/http_caller.cc
@@ -1,6 +1,5 @@
 #include "net/http_caller.h"
 
-#include <limits>
 #include <optional>
 
 #include "net/socket_options.h"
@@ -16,9 +15,7 @@
 constexpr milliseconds kSilenceTimeout{2000};
 // TCP sends a lost SYN again only after a second; a new connection attempt is faster.
 constexpr milliseconds kConnectTimeout{800};
-constexpr std::size_t kMaxIdleConnections = 4;             // bounds the descriptors per server
-constexpr std::uint64_t kMaxResponseBytes = 64ULL << 20U;  // far larger than any expected answer
-
+constexpr std::size_t kMaxIdleConnections = 4;  // bounds the descriptors per server
 }  // namespace
 
 HttpCaller::HttpCaller(asio::any_io_executor executor, tcp::endpoint address)
@@ -60,7 +57,8 @@
   this->idle.push_back(std::move(connection));
 }
 
-asio::awaitable<HttpCaller::Outcome> HttpCaller::Call(Request request, milliseconds timeout) {
+asio::awaitable<HttpCaller::Outcome> HttpCaller::Call(Request request, milliseconds timeout,
+                                                      std::uint64_t most_bytes) {
   const SteadyTime deadline = Now() + timeout;
   const tcp::endpoint server = this->address;
   std::unique_ptr<Connection> connection = this->TakeIdle();
@@ -87,7 +85,7 @@
     co_return written == 0 ? CallError::kNotSent : CallError::kNoAnswer;
   }
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
+  parser.body_limit(most_bytes);
   const auto [read_error, read] =
       co_await http::async_read(connection->stream, connection->buffer, parser, kAwaitWithError);
   if (read_error) {
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -23,7 +23,9 @@
   /// Sends a request and reads the whole answer.
   /// @param request method, target, headers and body; Host and Content-Length are added.
   /// @param timeout limit on connecting, sending and reading together.
-  asio::awaitable<Outcome> Call(Request request, std::chrono::milliseconds timeout);
+  /// @param most_bytes largest body that is read; an answer with a larger one counts as none.
+  asio::awaitable<Outcome> Call(Request request, std::chrono::milliseconds timeout,
+                                std::uint64_t most_bytes);
 
   /// Changes the server and closes idle connections to the old one.
   void SetAddress(const tcp::endpoint& address);
@@ -34,11 +36,14 @@
   [[nodiscard]] const tcp::endpoint& Address() const { return this->address; }
 
  private:
+  /// Bytes of the head, of the head of one chunk with its extensions, or of the trailer.
+  static constexpr std::size_t kMaxFramingBytes = 128 << 10;
+
   struct Connection {
     explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
 
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMaxFramingBytes};
     SteadyTime idle_since;
   };
 
--- a/src/peers/internal/view_relay.cc
+++ b/src/peers/internal/view_relay.cc
@@ -11,6 +11,7 @@
 
 constexpr milliseconds kPeriod{200};  // bounds the delay of a change that only peers have received
 constexpr milliseconds kTimeout{600};
+constexpr std::uint64_t kMaxViewBytes = 8ULL << 20U;  // several times that of the largest fleet
 
 }  // namespace
 
@@ -33,7 +34,8 @@
 awaitable<void> ViewRelay::Fetch(net::asio::ip::address peer, bool include_endpoints) {
   net::HttpCaller caller(this->gateway.executor, {peer, this->port});
   net::Request request(net::http::verb::get, kPath, 11);
-  net::HttpCaller::Outcome outcome = co_await caller.Call(std::move(request), kTimeout);
+  net::HttpCaller::Outcome outcome =
+      co_await caller.Call(std::move(request), kTimeout, kMaxViewBytes);
   const auto* response = std::get_if<net::Response>(&outcome);
   if (response == nullptr || response->result() != net::http::status::ok) {
     co_return;  // a peer that is lost expires in the exchange
--- a/src/rowstore/row_store.cc
+++ b/src/rowstore/row_store.cc
@@ -18,10 +18,18 @@
 constexpr milliseconds kSilenceThreshold{700};
 // A feed's default wait of 1500 ms and most of its margin.
 constexpr milliseconds kRelayTimeout{2400};
+// Far above the largest answers: the store sends at most 1 MB of rows in one.
+constexpr std::uint64_t kMaxObjectBytes = 64ULL << 20U;
+constexpr std::uint64_t kMaxRowsBytes = 16ULL << 20U;
 constexpr std::string_view kRelayPrefix = "/store";
 constexpr milliseconds kFirstRetryDelay{40};
 constexpr milliseconds kMaxRetryDelay{500};  // bounds the load of retries on a recovering store
 
+/// Largest answer to a call that is read.
+std::uint64_t MostBytes(const net::Request& call) {
+  return platform::IsObjectCall(call) ? kMaxObjectBytes : kMaxRowsBytes;
+}
+
 milliseconds CallTimeout(net::SteadyTime deadline) {
   const milliseconds left = net::ToMilliseconds(deadline - net::Now());
   return std::clamp(left, milliseconds(1), kCallTimeout);
@@ -59,7 +67,9 @@
                                                          milliseconds timeout) {
   const net::SteadyTime start = net::Now();
   const net::tcp::endpoint server = this->caller.Address();
-  net::HttpCaller::Outcome outcome = co_await this->caller.Call(std::move(request), timeout);
+  const std::uint64_t most_bytes = MostBytes(request);
+  net::HttpCaller::Outcome outcome =
+      co_await this->caller.Call(std::move(request), timeout, most_bytes);
   const net::SteadyTime end = net::Now();
   if (server != this->caller.Address()) {
     co_return outcome;  // tells nothing about the path to the new address
@@ -84,8 +94,9 @@
     co_return co_await this->CallDirect(std::move(request), timeout);
   }
   this->relay.SetAddress(*peer);
+  const std::uint64_t most_bytes = MostBytes(request);
   request.target(std::string(kRelayPrefix) + std::string(request.target()));
-  co_return co_await this->relay.Call(std::move(request), timeout);
+  co_return co_await this->relay.Call(std::move(request), timeout, most_bytes);
 }
 
 awaitable<net::Response> RowStore::RelayCall(net::Request request) {
