Survive rows of the list of nodes with fields of another type

One row of another writer in the list of nodes, with a number as start, address or zone, ended every node that read it, again after each start, and with them the requests of all callers.

Cause: NodePresence::Note read the fields with json::value, which throws if the type differs; the task that follows the list ends, and the node stops without it. Evidence: both nodes of a test fleet exit with status 1 within 1.4 s of the row.

Change: the fields are read as in entries of endpoints; a field of another type counts as missing, and node_row_unreadable is logged.

--- a/src/peers/internal/node_presence.cc
+++ b/src/peers/internal/node_presence.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/log_line.h"
+#include "platform/json_fields.h"
 
 namespace lentilhead::peers {
 
@@ -25,19 +26,20 @@
 void NodePresence::Note(const std::vector<rowstore::Row>& rows) {
   this->has_list = true;
   for (const rowstore::Row& row : rows) {
-    const nlohmann::json value = nlohmann::json::parse(row.value, nullptr, false);
-    if (row.removed || !value.is_object()) {
+    const std::optional<nlohmann::json> value = platform::ParseObject(row.value);
+    if (row.removed || !value) {
       continue;
     }
-    const auto incarnation = value.value("start", std::string());
+    const std::string incarnation = platform::TextField(*value, "start").value_or("");
     net::ErrorCode error;
-    const auto ip = net::asio::ip::make_address(value.value("address", std::string()), error);
+    const auto ip =
+        net::asio::ip::make_address(platform::TextField(*value, "address").value_or(""), error);
     if (incarnation.empty() || error) {
       net::LogLine("node_row_unreadable").With("node", row.key.key);
       continue;
     }
     this->exchange.AddCandidate(ip);
-    this->groups.Put({row.key.key, value.value("zone", std::string()), ip});
+    this->groups.Put({row.key.key, platform::TextField(*value, "zone").value_or(""), ip});
     this->last_seen[incarnation] = net::Now();
     this->newest_incarnation[row.key.key] = incarnation;
   }
