Finish what a leaving node carries for other nodes before it exits

Callers of a node that is cut off from its endpoints got 502 for requests that may not be repeated and had run: the planned stop of the peer that carried them cut their answers.

Cause: the exit of a leaving node waits for its callers and jobs, not for the connections that it carries for others, and other nodes went on to choose it and to reuse open connections through it. Evidence: the lost requests are at the node that is cut off; the leaving one exits as soon as its own callers are served.

Change: a leaving node grants no new connections and waits for the open ones within its grace; other nodes avoid a peer that says it is leaving.

Test: cut_nodes, requests_through_a_leaving_node_are_not_cut_by_its_exit.

--- a/src/apps/node/node_relay.cc
+++ b/src/apps/node/node_relay.cc
@@ -7,7 +7,9 @@
           this->settings.callers.address(),
           this->gateway.memory,
           [this](const net::asio::ip::address& caller, const net::tcp::endpoint& target) {
-            return this->gateway.paths.PermitTunnel(caller, target);
+            const relay::TunnelPermit permit = this->gateway.paths.PermitTunnel(caller, target);
+            const bool is_granted = permit == relay::TunnelPermit::kGranted;
+            return is_granted && this->gateway.stopping ? relay::TunnelPermit::kLeaving : permit;
           },
           [this](const net::tcp::endpoint& target, bool reached) {
             this->gateway.paths.RecordTunnel(target, reached);
--- a/src/apps/node/node_shutdown.cc
+++ b/src/apps/node/node_shutdown.cc
@@ -29,6 +29,7 @@
       .With("in_flight", this->caller_server.RequestsInFlight())
       .With("sessions", this->caller_server.OpenConnections())
       .With("jobs", this->job_service.OwnedCount())
+      .With("relayed", this->tunnel_server.Open())
       .With("loop_lag_ms", shutdown.lag.count())
       .With("exits_in_ms", net::ToMilliseconds(shutdown.exits_at - shutdown.started).count());
   this->job_service.HandOver();
@@ -57,7 +58,8 @@
 
 bool NodeProgram::HasFinished() {
   const bool is_idle = this->caller_server.RequestsInFlight() == 0 &&
-                       this->caller_server.OpenConnections() == 0 && this->job_service.IsIdle();
+                       this->caller_server.OpenConnections() == 0 &&
+                       this->tunnel_server.Open() == 0 && this->job_service.IsIdle();
   if (is_idle && this->caller_listener.is_open()) {
     // A connection that has been accepted just now is served before the next check.
     net::ErrorCode ignored;  // the process exits in any case
--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -36,8 +36,12 @@
   /// Replaces the list of nodes.
   void SetNodes(const std::vector<relay::RelayNode>& nodes);
 
-  /// Records that a peer was heard of. @param is_cut_off whether it says that it is cut off.
-  void RecordNews(const Address& peer, bool is_cut_off);
+  /// Records that a peer was heard of.
+  /// @param carries_requests false if it says that it is cut off or is shutting down.
+  void RecordNews(const Address& peer, bool carries_requests);
+
+  /// Whether an open connection may carry another request: it is direct, or its peer may be used.
+  [[nodiscard]] bool MayReuse(const internal::EndpointConnection& connection) const;
 
   /// Opens a connection.
   /// @param connection not connected. @param until time limit of the whole.
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -79,12 +79,17 @@
   }
 }
 
-void EndpointPaths::RecordNews(const Address& peer, bool is_cut_off) {
+void EndpointPaths::RecordNews(const Address& peer, bool carries_requests) {
   if (this->peers) {
-    this->peers->RecordNews(peer, is_cut_off, net::Now());
+    this->peers->RecordNews(peer, carries_requests, net::Now());
   }
 }
 
+bool EndpointPaths::MayReuse(const internal::EndpointConnection& connection) const {
+  return !connection.through ||
+         (this->peers && !this->peers->IsAvoided(*connection.through, net::Now()));
+}
+
 bool EndpointPaths::UsesPeer(const EndpointState& endpoint) const {
   return this->peers && this->evidence.PathTo(endpoint.key, net::Now()) == relay::Path::kPeer;
 }
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -288,7 +288,7 @@
     return;  // a newer message arrived first
   }
   this->NotePeer(message, sender);
-  this->gateway.paths.RecordNews(sender, message.is_cut_off);
+  this->gateway.paths.RecordNews(sender, !message.is_cut_off && !message.is_leaving);
   this->gateway.registry.SetPeerLoad(message.name, message.loads, net::Now());
   this->gateway.registry.RecordPeerSuspects(message.unreachable_endpoints, net::Now());
   this->gateway.registry.Outliers().SetPeerReport(message.name, message.failures);
--- a/src/relay/internal/relay_peers.cc
+++ b/src/relay/internal/relay_peers.cc
@@ -24,6 +24,7 @@
     case TunnelOutcome::kFull:
       return kFullPause;
     case TunnelOutcome::kCutOff:
+    case TunnelOutcome::kLeaving:
     case TunnelOutcome::kNotListed:
       return kCutOffPause;
     case TunnelOutcome::kNoAnswer:
@@ -45,13 +46,13 @@
   this->nodes = std::move(kept);
 }
 
-void RelayPeers::RecordNews(const Address& node, bool is_cut_off, net::SteadyTime now) {
+void RelayPeers::RecordNews(const Address& node, bool carries_requests, net::SteadyTime now) {
   const auto found = this->nodes.find(node);
   if (found == this->nodes.end()) {
     return;
   }
   found->second.heard_at = now;
-  if (is_cut_off) {
+  if (!carries_requests) {
     found->second.avoided_until = std::max(found->second.avoided_until, now + kCutOffPause);
   }
 }
@@ -73,6 +74,11 @@
   }
 }
 
+bool RelayPeers::IsAvoided(const Address& node, net::SteadyTime now) const {
+  const auto found = this->nodes.find(node);
+  return found == this->nodes.end() || now < found->second.avoided_until;
+}
+
 bool RelayPeers::IsListed(const Address& node) const {
   return node == this->own || this->nodes.contains(node);
 }
--- a/src/relay/internal/tunnel_client.cc
+++ b/src/relay/internal/tunnel_client.cc
@@ -22,8 +22,9 @@
     return TunnelOutcome::kGranted;
   }
   const std::string_view reason = head[kReasonHeader];
-  for (const TunnelOutcome outcome : {TunnelOutcome::kUnreachable, TunnelOutcome::kCutOff,
-                                      TunnelOutcome::kFull, TunnelOutcome::kNotListed}) {
+  for (const TunnelOutcome outcome :
+       {TunnelOutcome::kUnreachable, TunnelOutcome::kCutOff, TunnelOutcome::kFull,
+        TunnelOutcome::kLeaving, TunnelOutcome::kNotListed}) {
     if (reason == NameOf(outcome)) {
       return outcome;
     }
--- a/src/relay/internal/tunnel_server.cc
+++ b/src/relay/internal/tunnel_server.cc
@@ -47,6 +47,14 @@
   return net::tcp::endpoint(address, port);
 }
 
+/// Reason for the refusal of a known caller that asks for a listed endpoint.
+TunnelOutcome ReasonOf(TunnelPermit permitted) {
+  if (permitted == TunnelPermit::kCutOff) {
+    return TunnelOutcome::kCutOff;
+  }
+  return permitted == TunnelPermit::kLeaving ? TunnelOutcome::kLeaving : TunnelOutcome::kFull;
+}
+
 /// Ends a connection so that its peer sees an error instead of an end, which could look like the
 /// end of an answer without framing.
 void Reset(net::tcp::socket& socket) {
@@ -114,10 +122,8 @@
     co_await this->Refuse(stream, status::forbidden, NameOf(TunnelOutcome::kNotListed));
     co_return;
   }
-  if (permitted == TunnelPermit::kCutOff || *this->open >= kMaxTunnels) {
-    const TunnelOutcome reason =
-        permitted == TunnelPermit::kCutOff ? TunnelOutcome::kCutOff : TunnelOutcome::kFull;
-    co_await this->Refuse(stream, status::service_unavailable, NameOf(reason));
+  if (permitted != TunnelPermit::kGranted || *this->open >= kMaxTunnels) {
+    co_await this->Refuse(stream, status::service_unavailable, NameOf(ReasonOf(permitted)));
     co_return;
   }
   ++*this->open;
--- a/src/relay/relay_peers.h
+++ b/src/relay/relay_peers.h
@@ -24,8 +24,10 @@
   /// Replaces the list of nodes.
   void SetNodes(const std::vector<RelayNode>& nodes);
 
-  /// Records that a node was heard of, and whether it says that it is cut off from all endpoints.
-  void RecordNews(const Address& node, bool is_cut_off, net::SteadyTime now);
+  /// Records that a node was heard of.
+  /// @param carries_requests false if it says that it is cut off from all endpoints or is shutting
+  ///   down; then it is avoided for a while.
+  void RecordNews(const Address& node, bool carries_requests, net::SteadyTime now);
 
   /// Records what became of a request to a node.
   void RecordOutcome(const Address& node, TunnelOutcome outcome, net::SteadyTime now);
@@ -41,6 +43,9 @@
   [[nodiscard]] std::optional<Address> Choose(const std::vector<Address>& tried, double random,
                                               net::SteadyTime now) const;
 
+  /// Whether no further request goes through a node for the moment.
+  [[nodiscard]] bool IsAvoided(const Address& node, net::SteadyTime now) const;
+
   /// Whether a node is listed, this one included.
   [[nodiscard]] bool IsListed(const Address& node) const;
 
--- a/src/relay/types/tunnel_outcome.h
+++ b/src/relay/types/tunnel_outcome.h
@@ -10,6 +10,7 @@
   kUnreachable,  ///< the peer could not connect to the endpoint
   kCutOff,       ///< the peer is itself cut off from the endpoint
   kFull,         ///< the peer carries as many connections as it may
+  kLeaving,      ///< the peer is shutting down
   kNotListed,    ///< the peer lists this node or the endpoint not, or not yet
   kNoAnswer,     ///< the peer can't be connected to or did not answer in time
 };
@@ -25,6 +26,8 @@
       return "cut_off";
     case TunnelOutcome::kFull:
       return "full";
+    case TunnelOutcome::kLeaving:
+      return "leaving";
     case TunnelOutcome::kNotListed:
       return "not_listed";
     case TunnelOutcome::kNoAnswer:
--- a/src/relay/types/tunnel_permit.h
+++ b/src/relay/types/tunnel_permit.h
@@ -8,6 +8,7 @@
   kUnknownCaller,    ///< the caller is no listed node
   kUnknownEndpoint,  ///< no listed endpoint has the address
   kCutOff,           ///< this node does not reach the endpoint directly
+  kLeaving,          ///< this node is shutting down
 };
 
 }  // namespace lentilhead::relay
