Do not send trailer fields on as headers

Cause: Beast adds trailer fields to the fields of the message. Change: the headers are kept as they are before the body.

Test: trailer_fields_are_not_sent_on_as_headers in smuggled_requests_test. py. Before: failed, no answer within a second. After: passed.

--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <optional>
+#include <utility>
 
 #include "net/acknowledged_bytes.h"
 #include "net/socket_options.h"
@@ -105,7 +107,15 @@
       co_return error;
     }
   }
-  co_return co_await this->ReadBody(parser);
+  std::optional<net::http::request_header<>> head;
+  if (parser.chunked()) {
+    head = parser.get().base();
+  }
+  const net::ErrorCode body_error = co_await this->ReadBody(parser);
+  if (!body_error && head) {
+    parser.get().base() = std::move(*head);  // fields of the trailer must not act as headers
+  }
+  co_return body_error;
 }
 
 awaitable<net::ErrorCode> CallerSession::ReadBody(Parser& parser) {
