Reject requests with a transfer coding other than chunks

Cause: Beast's parser takes a request whose last coding is not chunked for one without a body, and IsAmbiguous looked only for a length beside a coding. Change: any value but a single chunked is answered 400, and the connection is closed.

Open, by reading: the listeners for peers, readiness and metrics have the same parser without this check.

--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -34,11 +34,16 @@
   return arrival + span;
 }
 
-/// Tells whether the headers state both a length and a transfer coding, which allows two readers to
-/// disagree on where the body ends.
+/// Tells whether two readers may disagree on where the body ends: the headers state both a length
+/// and a transfer coding, or another coding than chunks.
 bool IsAmbiguous(const net::Request& message) {
-  return message.find(net::http::field::transfer_encoding) != message.end() &&
-         message.find(net::http::field::content_length) != message.end();
+  const auto coding = message.find(net::http::field::transfer_encoding);
+  if (coding == message.end()) {
+    return false;
+  }
+  return message.find(net::http::field::content_length) != message.end() ||
+         message.count(net::http::field::transfer_encoding) > 1 ||
+         !net::beast::iequals(coding->value(), "chunked");
 }
 
 /// Tells whether a request was not read because it exceeds a limit of the configuration.
