Drop only connections through peers that are leaving

Change: RelayPeers keeps apart who is leaving (PeerNews), and only connections through such a peer get no further request.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -15,6 +15,7 @@
 #include "relay/drop_limit.h"
 #include "relay/relay_peers.h"
 #include "relay/tunnel_client.h"
+#include "relay/types/peer_news.h"
 #include "relay/types/tunnel_permit.h"
 
 namespace lentilhead::gateway {
@@ -37,10 +38,9 @@
   void SetNodes(const std::vector<relay::RelayNode>& nodes);
 
   /// Records that a peer was heard of.
-  /// @param carries_requests false if it says that it is cut off or is shutting down.
-  void RecordNews(const Address& peer, bool carries_requests);
+  void RecordNews(const Address& peer, relay::PeerNews news);
 
-  /// Whether an open connection may carry another request: it is direct, or its peer may be used.
+  /// Whether an open connection may carry another request: it leads through no leaving peer.
   [[nodiscard]] bool MayReuse(const internal::EndpointConnection& connection) const;
 
   /// Opens a connection.
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -79,15 +79,16 @@
   }
 }
 
-void EndpointPaths::RecordNews(const Address& peer, bool carries_requests) {
+void EndpointPaths::RecordNews(const Address& peer, relay::PeerNews news) {
   if (this->peers) {
-    this->peers->RecordNews(peer, carries_requests, net::Now());
+    this->peers->RecordNews(peer, news, net::Now());
   }
 }
 
 bool EndpointPaths::MayReuse(const internal::EndpointConnection& connection) const {
-  return !connection.through ||
-         (this->peers && !this->peers->IsAvoided(*connection.through, net::Now()));
+  const bool is_leaving =
+      connection.through && this->peers && this->peers->IsLeaving(*connection.through, net::Now());
+  return !is_leaving;
 }
 
 bool EndpointPaths::UsesPeer(const EndpointState& endpoint) const {
--- a/src/peers/internal/peer_exchange.cc
+++ b/src/peers/internal/peer_exchange.cc
@@ -39,6 +39,13 @@
 constexpr std::size_t kMaxFirstLimit = 1U << 20U;
 constexpr std::size_t kMaxDatagramBytes = 16 << 10;  // holds 740 endpoints
 
+relay::PeerNews NewsOf(const PeerMessage& message) {
+  if (message.is_leaving) {
+    return relay::PeerNews::kLeaving;
+  }
+  return message.is_cut_off ? relay::PeerNews::kCutOff : relay::PeerNews::kServing;
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(gateway::Gateway& gateway, ClusterView& view,
@@ -288,7 +295,7 @@
     return;  // a newer message arrived first
   }
   this->NotePeer(message, sender);
-  this->gateway.paths.RecordNews(sender, !message.is_cut_off && !message.is_leaving);
+  this->gateway.paths.RecordNews(sender, NewsOf(message));
   this->gateway.registry.SetPeerLoad(message.name, message.loads, net::Now());
   this->gateway.registry.RecordPeerSuspects(message.unreachable_endpoints, net::Now());
   this->gateway.registry.Outliers().SetPeerReport(message.name, message.failures);
--- a/src/relay/internal/relay_peers.cc
+++ b/src/relay/internal/relay_peers.cc
@@ -46,15 +46,18 @@
   this->nodes = std::move(kept);
 }
 
-void RelayPeers::RecordNews(const Address& node, bool carries_requests, net::SteadyTime now) {
+void RelayPeers::RecordNews(const Address& node, PeerNews news, net::SteadyTime now) {
   const auto found = this->nodes.find(node);
   if (found == this->nodes.end()) {
     return;
   }
   found->second.heard_at = now;
-  if (!carries_requests) {
+  if (news != PeerNews::kServing) {
     found->second.avoided_until = std::max(found->second.avoided_until, now + kCutOffPause);
   }
+  if (news == PeerNews::kLeaving) {
+    found->second.leaving_until = now + kCutOffPause;
+  }
 }
 
 void RelayPeers::RecordOutcome(const Address& node, TunnelOutcome outcome, net::SteadyTime now) {
@@ -74,9 +77,9 @@
   }
 }
 
-bool RelayPeers::IsAvoided(const Address& node, net::SteadyTime now) const {
+bool RelayPeers::IsLeaving(const Address& node, net::SteadyTime now) const {
   const auto found = this->nodes.find(node);
-  return found == this->nodes.end() || now < found->second.avoided_until;
+  return found != this->nodes.end() && now < found->second.leaving_until;
 }
 
 bool RelayPeers::IsListed(const Address& node) const {
--- a/src/relay/relay_peers.h
+++ b/src/relay/relay_peers.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "relay/types/peer_news.h"
 #include "relay/types/relay_node.h"
 #include "relay/types/tunnel_outcome.h"
 
@@ -24,10 +25,8 @@
   /// Replaces the list of nodes.
   void SetNodes(const std::vector<RelayNode>& nodes);
 
-  /// Records that a node was heard of.
-  /// @param carries_requests false if it says that it is cut off from all endpoints or is shutting
-  ///   down; then it is avoided for a while.
-  void RecordNews(const Address& node, bool carries_requests, net::SteadyTime now);
+  /// Records that a node was heard of. Unless it serves it is not chosen for a while.
+  void RecordNews(const Address& node, PeerNews news, net::SteadyTime now);
 
   /// Records what became of a request to a node.
   void RecordOutcome(const Address& node, TunnelOutcome outcome, net::SteadyTime now);
@@ -43,8 +42,8 @@
   [[nodiscard]] std::optional<Address> Choose(const std::vector<Address>& tried, double random,
                                               net::SteadyTime now) const;
 
-  /// Whether no further request goes through a node for the moment.
-  [[nodiscard]] bool IsAvoided(const Address& node, net::SteadyTime now) const;
+  /// Whether a node said a short time ago that it is shutting down.
+  [[nodiscard]] bool IsLeaving(const Address& node, net::SteadyTime now) const;
 
   /// Whether a node is listed, this one included.
   [[nodiscard]] bool IsListed(const Address& node) const;
@@ -54,6 +53,7 @@
     std::string zone;
     net::SteadyTime heard_at;
     net::SteadyTime avoided_until;
+    net::SteadyTime leaving_until;
   };
 
   Address own;
--- a/src/relay/tests/relay_peers_test.cc
+++ b/src/relay/tests/relay_peers_test.cc
@@ -16,7 +16,7 @@
   RelayPeers peers(Node(1));
   peers.SetNodes({{Node(1), "a"}, {Node(2), "a"}, {Node(3), "a"}, {Node(4), "b"}});
   const net::SteadyTime now = net::Now();
-  peers.RecordNews(Node(2), true, now);
+  peers.RecordNews(Node(2), PeerNews::kServing, now);
   CHECK(peers.Choose({}, 0.99, now) == Node(2));
   CHECK(peers.Choose({Node(2)}, 0, now) == Node(4));
   CHECK(peers.Choose({Node(2), Node(4)}, 0, now) == Node(3));
@@ -36,21 +36,33 @@
     CHECK(!peers.Choose({}, 0, now + milliseconds(100)));
     CHECK(peers.Choose({}, 0, now + milliseconds(2100)) == Node(2));
   }
-  peers.RecordNews(Node(2), false, now + milliseconds(2200));
+  peers.RecordNews(Node(2), PeerNews::kCutOff, now + milliseconds(2200));
   CHECK(!peers.Choose({}, 0, now + milliseconds(2300)));
 }
 
 // Guards against requests on an open connection through a node that is about to exit.
-TEST_CASE("a node that carries no requests is avoided as long as it says so") {
+TEST_CASE("a node that is shutting down is not chosen as long as it says so") {
   RelayPeers peers(Node(1));
   peers.SetNodes({{Node(2), "a"}});
   const net::SteadyTime now = net::Now();
-  CHECK(peers.IsAvoided(Node(3), now));
-  CHECK(!peers.IsAvoided(Node(2), now));
-  peers.RecordNews(Node(2), false, now);
-  peers.RecordNews(Node(2), false, now + milliseconds(300));
-  CHECK(peers.IsAvoided(Node(2), now + milliseconds(900)));
-  CHECK(!peers.IsAvoided(Node(2), now + milliseconds(1100)));
+  CHECK(!peers.IsLeaving(Node(2), now));
+  peers.RecordNews(Node(2), PeerNews::kLeaving, now);
+  peers.RecordNews(Node(2), PeerNews::kLeaving, now + milliseconds(300));
+  CHECK(peers.IsLeaving(Node(2), now + milliseconds(900)));
+  CHECK(!peers.Choose({}, 0, now + milliseconds(900)));
+  CHECK(!peers.IsLeaving(Node(2), now + milliseconds(1100)));
+}
+
+// Guards against sound connections that are dropped while no new one is asked for.
+TEST_CASE("a node that is full, lost or cut off is not taken for one that is shutting down") {
+  RelayPeers peers(Node(1));
+  peers.SetNodes({{Node(2), "a"}});
+  const net::SteadyTime now = net::Now();
+  peers.RecordOutcome(Node(2), TunnelOutcome::kFull, now);
+  peers.RecordBroken(Node(2), now);
+  peers.RecordNews(Node(2), PeerNews::kCutOff, now);
+  CHECK(!peers.Choose({}, 0, now + milliseconds(100)));
+  CHECK(!peers.IsLeaving(Node(2), now + milliseconds(100)));
 }
 
 TEST_CASE("only listed nodes are listed") {
