Leave out rows of results and progress with a field of another type

An exception ended the read of a job, or its takeover for good, at a row of another writer: DecodeProgress and JoinResults converted fields and the position in the key without a check of their type.

Change: such a row is left out, as one with another number of fields is.

Test: jobs_tests, rows of results and of progress with a field of another type are left out. Before: 10 of 13 assertions failed, by exceptions. After: passed.

--- a/src/jobs/internal/job_rows.cc
+++ b/src/jobs/internal/job_rows.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <nlohmann/json.hpp>
 
@@ -34,6 +35,19 @@
   return {bytes.begin(), bytes.end()};
 }
 
+std::optional<ItemResult> DecodeResult(const std::string& packed) {
+  const json value = json::from_msgpack(packed, true, false);
+  if (!value.is_array() || value.size() != 3) {
+    return std::nullopt;
+  }
+  try {
+    return ItemResult{value[0].get<std::string>(), static_cast<ItemOutcome>(value[1].get<int>()),
+                      value[2].get<std::string>()};
+  } catch (const json::exception&) {
+    return std::nullopt;  // a field has another type
+  }
+}
+
 }  // namespace
 
 const std::vector<std::string>& JobParts() {
@@ -142,13 +156,12 @@
     if (row.value.front() == kMorePiecesFollow) {
       continue;
     }
-    const json value = json::from_msgpack(packed, true, false);
+    std::optional<ItemResult> result = DecodeResult(packed);
     packed.clear();
-    if (!value.is_array() || value.size() != 3) {
+    if (!result) {
       break;
     }
-    results.push_back({value[0].get<std::string>(), static_cast<ItemOutcome>(value[1].get<int>()),
-                       value[2].get<std::string>()});
+    results.push_back(std::move(*result));
   }
   return results;
 }
@@ -165,14 +178,24 @@
   if (!value.is_array() || value.size() != 3 || slash == std::string::npos) {
     return std::nullopt;
   }
-  ItemProgress progress;
-  const auto last_event = value[0].get<std::int64_t>();
-  if (last_event >= 0) {
-    progress.last_event = last_event;
+  std::size_t item = 0;
+  const char* end = row.key.key.data() + row.key.key.size();
+  const auto [stop, failed] = std::from_chars(row.key.key.data() + slash + 1, end, item);
+  if (failed != std::errc() || stop != end) {
+    return std::nullopt;
+  }
+  try {
+    ItemProgress progress;
+    const auto last_event = value[0].get<std::int64_t>();
+    if (last_event >= 0) {
+      progress.last_event = last_event;
+    }
+    value[1].get_to(progress.failures);
+    value[2].get_to(progress.output);
+    return std::pair{item, progress};
+  } catch (const json::exception&) {
+    return std::nullopt;  // a field has another type
   }
-  progress.failures = value[1].get<int>();
-  progress.output = value[2].get<std::string>();
-  return std::pair{static_cast<std::size_t>(std::stoul(row.key.key.substr(slash + 1))), progress};
 }
 
 }  // namespace lentilhead::jobs::internal
--- a/src/jobs/tests/job_rows_test.cc
+++ b/src/jobs/tests/job_rows_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 
 #include "jobs/job_directory.h"
 
@@ -66,6 +67,31 @@
   CHECK(read->second.failures == 1);
 }
 
+// Guards against a takeover or a read that ends with an exception at a row of another writer.
+TEST_CASE("rows of results and of progress with a field of another type are left out") {
+  const auto pack = [](const nlohmann::json& value) {
+    const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(value);
+    return std::string(bytes.begin(), bytes.end());
+  };
+  const auto list = [](auto... fields) { return nlohmann::json::array({fields...}); };
+  const rowstore::RowKey key{kResultTable, "p0", "j1/00000000/0000"};
+  REQUIRE(JoinResults({{key, "e" + pack(list("i", 0, "text")), 3, false}}).size() == 1);
+  for (const nlohmann::json& value :
+       {list(1, 0, "text"), list("i", "0", "text"), list("i", 0, nullptr), list("i", 0)}) {
+    CHECK(JoinResults({{key, "e" + pack(value), 3, false}}).empty());
+  }
+  const rowstore::RowKey progress{kProgressTable, "p0", "j1/0017"};
+  REQUIRE(DecodeProgress({progress, pack(list(2, 1, "one")), 3, false}));
+  for (const nlohmann::json& value :
+       {list("2", 1, "one"), list(2, nullptr, "one"), list(2, 1, 1)}) {
+    CHECK_FALSE(DecodeProgress({progress, pack(value), 3, false}));
+  }
+  for (const char* name : {"j1/x", "j1/", "j1/17x", "j1/99999999999999999999999"}) {
+    const rowstore::RowKey odd{kProgressTable, "p0", name};
+    CHECK_FALSE(DecodeProgress({odd, pack(list(2, 1, "one")), 3, false}));
+  }
+}
+
 TEST_CASE("exactly one live node ranks first for the takeover of a job") {
   const std::vector<std::string> alive = {"a#1", "b#1", "c#1"};
   for (int job = 0; job < 50; ++job) {
