Check the framing of requests in one place for all listeners

The listeners for peers, readiness and metrics took the bytes of a body with an unknown transfer coding for a call of its own; only the listener for callers had the check. The check and the bound of buffered framing now stand in net/framing.h and serve both kinds of listener and HttpCaller, which each had a copy of the bound.

AnswerProblem decides itself that an oversized request is refused while no configuration has been read, instead of its caller.

Test: smuggled_requests, every_listener_rejects_an_unknown_transfer_coding. Before: failed at the first listener. After: passed, as do endless_bytes and the test of the limits without a configuration.

--- a/src/apps/node/auxiliary_server.cc
+++ b/src/apps/node/auxiliary_server.cc
@@ -1,5 +1,6 @@
 #include "apps/node/auxiliary_server.h"
 
+#include "net/framing.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -14,8 +15,6 @@
 constexpr milliseconds kIdleTimeout{5000};
 constexpr milliseconds kSilenceTimeout{2000};
 constexpr milliseconds kAcceptRetryDelay{20};
-// Bytes of the head, of the head of one chunk with its extensions, or of the trailer.
-constexpr std::size_t kMaxFramingBytes = 128 << 10;
 constexpr int kBacklog = 1024;  // absorbs a burst of new connections after an instance returns
 
 }  // namespace
@@ -69,7 +68,7 @@
   net::ErrorCode unknown;
   const net::tcp::endpoint caller = socket.remote_endpoint(unknown);
   net::beast::tcp_stream stream(std::move(socket));
-  net::beast::flat_buffer buffer{kMaxFramingBytes};
+  net::beast::flat_buffer buffer{net::kMaxFramingBytes};
   bool keep_alive = true;
   while (keep_alive) {
     net::Request request;
@@ -83,8 +82,12 @@
       co_await this->connect_handler(std::move(request), caller, std::move(stream));
       co_return;
     }
-    keep_alive = request.keep_alive();
-    net::Response response = co_await this->handler(std::move(request), caller);
+    const bool is_ambiguous = net::IsBodyAmbiguous(request);
+    keep_alive = request.keep_alive() && !is_ambiguous;
+    net::Response response(net::http::status::bad_request, 11);
+    if (!is_ambiguous) {
+      response = co_await this->handler(std::move(request), caller);
+    }
     response.version(11);
     response.keep_alive(keep_alive);
     response.prepare_payload();
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -7,6 +7,7 @@
 #include "gateway/refusal_policy.h"
 #include "gateway/shutdown_policy.h"
 #include "net/backoff.h"
+#include "net/framing.h"
 #include "net/log_line.h"
 #include "net/spawn.h"
 #include "platform/request_codec.h"
@@ -34,18 +35,6 @@
   return arrival + span;
 }
 
-/// Tells whether two readers may disagree on where the body ends: the headers state both a length
-/// and a transfer coding, or another coding than chunks.
-bool IsAmbiguous(const net::Request& message) {
-  const auto coding = message.find(net::http::field::transfer_encoding);
-  if (coding == message.end()) {
-    return false;
-  }
-  return message.find(net::http::field::content_length) != message.end() ||
-         message.count(net::http::field::transfer_encoding) > 1 ||
-         !net::beast::iequals(coding->value(), "chunked");
-}
-
 /// Tells whether a request was not read because it exceeds a limit of the configuration.
 bool IsOverLimit(ReadProblem problem) {
   return problem == ReadProblem::kHeaderTooLarge || problem == ReadProblem::kBodyTooLarge;
@@ -149,13 +138,7 @@
     std::variant<net::Request, ReadProblem> read =
         co_await session->ReadRequest([this] { return this->LimitsInForce(); });
     if (const auto* problem = std::get_if<ReadProblem>(&read)) {
-      if (IsOverLimit(*problem) && this->gateway.routes.Config() == nullptr) {
-        // The configuration may allow more than the default limits.
-        const InferenceRequest unread;
-        co_await this->RefuseNotReady(*session, unread);
-      } else {
-        co_await this->AnswerProblem(*session, *problem);
-      }
+      co_await this->AnswerProblem(*session, *problem);
       session->Abort();
       break;
     }
@@ -165,6 +148,11 @@
 }
 
 awaitable<void> CallerServer::AnswerProblem(CallerSession& session, ReadProblem problem) {
+  if (IsOverLimit(problem) && this->gateway.routes.Config() == nullptr) {
+    const InferenceRequest unread;
+    co_await this->RefuseNotReady(session, unread);  // a configuration may allow more
+    co_return;
+  }
   status code = status::bad_request;
   const char* reason = "malformed";
   switch (problem) {
@@ -207,7 +195,7 @@
 }
 
 awaitable<void> CallerServer::Answer(CallerSession& session, net::Request message) {
-  if (IsAmbiguous(message)) {
+  if (net::IsBodyAmbiguous(message)) {
     co_await this->AnswerProblem(session, ReadProblem::kMalformed);
     session.Abort();
     co_return;
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "net/call_error.h"
+#include "net/framing.h"
 #include "net/http_types.h"
 
 namespace lentilhead::net {
@@ -36,9 +37,6 @@
   [[nodiscard]] const tcp::endpoint& Address() const { return this->address; }
 
  private:
-  /// Bytes of the head, of the head of one chunk with its extensions, or of the trailer.
-  static constexpr std::size_t kMaxFramingBytes = 128 << 10;
-
   struct Connection {
     explicit Connection(const asio::any_io_executor& executor) : stream(executor) {}
 
