Match the route of an item once for each choice

NextStart matched the route twice, in JobRoute::StateOf and for its services, for every owned job at each tick. StateOf now takes the route that was matched. The loop over idle connections in EndpointAttempt:: Connect is one condition.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -83,15 +83,12 @@
 awaitable<ConnectOutcome> EndpointAttempt::Connect(net::SteadyTime until,
                                                    milliseconds longest_idle) {
   const bool through_peer = this->gateway.paths.UsesPeer(*this->endpoint);
-  while (true) {
+  do {
     this->connection =
         this->gateway.pool.Take(*this->endpoint, longest_idle, through_peer, net::Now());
-    if (!this->connection) {
-      break;
-    }
-    if (this->gateway.paths.MayReuse(*this->connection)) {
-      co_return ConnectOutcome::kConnected;
-    }
+  } while (this->connection && !this->gateway.paths.MayReuse(*this->connection));
+  if (this->connection) {
+    co_return ConnectOutcome::kConnected;
   }
   this->connection = std::make_shared<EndpointConnection>(this->gateway.executor, this->endpoint);
   const ConnectionPool::Connection held = this->connection;
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -95,14 +95,14 @@
     if (!item) {
       continue;
     }
-    const std::string& path = job->items.Spec(*item).path;
-    const RouteState state = JobRoute::StateOf(this->gateway.routes, job->claim, path);
+    const gateway::Route* route =
+        this->gateway.routes.Match(job->claim.host, job->items.Spec(*item).path);
+    const RouteState state = JobRoute::StateOf(this->gateway.routes, job->claim, route);
     this->NoteRoute(job, state);
     if (state != RouteState::kPresent) {
       continue;
     }
-    const gateway::Route& route = *this->gateway.routes.Match(job->claim.host, path);
-    const std::string service = gateway::RouteTable::PickService(route, net::RandomFraction());
+    const std::string service = gateway::RouteTable::PickService(*route, net::RandomFraction());
     if (full.contains(service)) {
       continue;
     }
--- a/src/jobs/internal/job_route.cc
+++ b/src/jobs/internal/job_route.cc
@@ -3,9 +3,8 @@
 namespace lentilhead::jobs {
 
 RouteState JobRoute::StateOf(const gateway::RouteTable& routes, const Claim& claim,
-                             const std::string& path) {
-  const gateway::Route* route = routes.Match(claim.host, path);
-  if (route != nullptr && route->kind == gateway::RouteKind::kBatch) {
+                             const gateway::Route* matched) {
+  if (matched != nullptr && matched->kind == gateway::RouteKind::kBatch) {
     return RouteState::kPresent;
   }
   const bool may_be_added_later =
--- a/src/jobs/job_route.h
+++ b/src/jobs/job_route.h
@@ -1,7 +1,5 @@
 #pragma once
 
-#include <string>
-
 #include "gateway/route_table.h"
 #include "jobs/types/claim.h"
 #include "jobs/types/route_state.h"
@@ -12,11 +10,10 @@
 /// the store does not serve the configuration: a new process owns jobs before it has read any.
 class JobRoute {
  public:
-  /// Returns the state of the route that the items of a job are sent by.
-  /// @param claim claim of the job.
-  /// @param path path of the item.
+  /// Returns the state of the route of a job's item.
+  /// @param matched route that the table has for the item; null if it has none.
   [[nodiscard]] static RouteState StateOf(const gateway::RouteTable& routes, const Claim& claim,
-                                          const std::string& path);
+                                          const gateway::Route* matched);
 };
 
 }  // namespace lentilhead::jobs
