Log bytes that belong to no expected answer, and where a stream's answer stood

A stream that ends early as complete left no line that tells whether its end was its own. request_end now states the first event and how many answers the connection had carried before; stray_bytes and gateway_stray_bytes_total name answers to other requests, bytes behind the end of an answer, and bytes on idle connections. No decision changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -35,8 +35,8 @@
   PartQuarantine quarantine;
   placement::CostEstimator costs;  ///< of requests, where services are placed by work
   net::MemoryBudget memory;        ///< of bytes that wait for slow readers
-  internal::ConnectionPool pool;
   framework::Metrics metrics;
+  internal::ConnectionPool pool{this->metrics};
   EndpointPaths paths{this->executor, this->registry, this->metrics};
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
   /// The peers have sent what they know of held parts, or have been waited for.
--- a/src/gateway/internal/connection_pool.cc
+++ b/src/gateway/internal/connection_pool.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "gateway/internal/stray_bytes.h"
 #include "net/socket_options.h"
 
 namespace lentilhead::gateway::internal {
@@ -14,16 +15,21 @@
 constexpr std::size_t kMaxIdleThroughPeer = 2;
 constexpr std::chrono::milliseconds kIdleThroughPeer{300};
 
-bool IsReusable(EndpointConnection& connection, std::chrono::milliseconds longest_idle,
-                net::SteadyTime now) {
+}  // namespace
+
+bool ConnectionPool::IsReusable(EndpointConnection& connection,
+                                std::chrono::milliseconds longest_idle, net::SteadyTime now) {
+  const std::size_t stray = net::AvailableBytes(connection.stream.socket());
+  if (stray > 0) {
+    ReportStrayBytes(this->metrics, connection, StrayPlace::kIdle, stray);
+    return false;
+  }
   const auto limit =
       std::min({longest_idle, connection.idle_limit, connection.endpoint->IdleLimit(now)});
   return now - connection.idle_since < limit && connection.buffer.size() == 0 &&
          net::IsIdleAndOpen(connection.stream.socket());
 }
 
-}  // namespace
-
 ConnectionPool::Connection ConnectionPool::Take(const EndpointState& endpoint,
                                                 std::chrono::milliseconds longest_idle,
                                                 bool through_peer, net::SteadyTime now) {
@@ -37,7 +43,8 @@
   while (!found->second.empty()) {
     Connection connection = std::move(found->second.back());
     found->second.pop_back();
-    if (connection->endpoint.get() == &endpoint && IsReusable(*connection, longest_idle, now)) {
+    if (connection->endpoint.get() == &endpoint &&
+        this->IsReusable(*connection, longest_idle, now)) {
       connection->is_reused = true;
       connection->idle_before = net::ToMilliseconds(now - connection->idle_since);
       return connection;
@@ -71,7 +78,8 @@
 void ConnectionPool::Prune(net::SteadyTime now) {
   for (auto& [id, list] : this->idle) {
     std::erase_if(list, [&](const Connection& connection) {
-      return !connection->endpoint->listed || !IsReusable(*connection, connection->idle_limit, now);
+      return !connection->endpoint->listed ||
+             !this->IsReusable(*connection, connection->idle_limit, now);
     });
   }
   std::erase_if(this->idle, [](const auto& item) { return item.second.empty(); });
--- a/src/gateway/internal/connection_pool.h
+++ b/src/gateway/internal/connection_pool.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "framework/metrics.h"
 #include "gateway/internal/endpoint_connection.h"
 
 namespace lentilhead::gateway::internal {
@@ -14,6 +15,8 @@
  public:
   using Connection = std::shared_ptr<EndpointConnection>;
 
+  explicit ConnectionPool(framework::Metrics& metrics) : metrics(metrics) {}
+
   /// Takes an idle connection that the endpoint has not closed and on which no error or data is
   /// pending.
   /// @param longest_idle connections that have been idle for longer are not taken.
@@ -37,6 +40,11 @@
   void Clear() { this->idle.clear(); }
 
  private:
+  /// Whether a connection may carry another request. Reports bytes that no request asked for.
+  [[nodiscard]] bool IsReusable(EndpointConnection& connection,
+                                std::chrono::milliseconds longest_idle, net::SteadyTime now);
+
+  framework::Metrics& metrics;
   std::map<std::string, std::vector<Connection>> idle;
 };
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "gateway/gateway.h"
+#include "gateway/internal/stray_bytes.h"
 #include "gateway/limit_changes.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
@@ -114,6 +115,8 @@
     this->gateway.registry.Limits().RecordSent(this->endpoint->incarnation, net::Now());
   }
   this->request_id = std::move(request_id);
+  held->earlier_request = std::exchange(held->request, this->request_id);
+  this->answers_before = held->answers;
   this->discarded = 0;
   this->is_interrupted = false;
   held->sent_at = net::Now();
@@ -283,6 +286,8 @@
       }
       co_return answer;
     }
+    ReportStrayBytes(this->gateway.metrics, *this->connection, StrayPlace::kBeforeAnswer,
+                     this->received);
     const std::optional<AttemptFailure> failure = co_await this->DiscardAnswer(until);
     if (failure) {
       co_return *failure;
@@ -330,8 +335,12 @@
 }
 
 void EndpointAttempt::Finish() {
+  const std::size_t stray = this->connection->buffer.size();
+  if (stray > 0) {
+    ReportStrayBytes(this->gateway.metrics, *this->connection, StrayPlace::kAfterAnswer, stray);
+  }
   const bool reusable = this->parser->keep_alive() && !this->parser->need_eof() &&
-                        this->connection->is_written && this->connection->buffer.size() == 0;
+                        this->connection->is_written && stray == 0;
   if (!reusable) {
     this->Abort();
     return;
@@ -344,6 +353,7 @@
   const EndpointAnswer decoded = platform::DecodeAnswer(this->parser->get().base());
   this->connection->idle_limit =
       decoded.idle_limit ? milliseconds(*decoded.idle_limit) - kIdleMargin : kDefaultIdleLimit;
+  ++this->connection->answers;
   this->gateway.pool.Return(std::move(this->connection), net::Now());
   this->connection.reset();
 }
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -78,6 +78,9 @@
     return this->through;
   }
 
+  /// Number of answers that the connection had carried before the current request.
+  [[nodiscard]] std::size_t AnswersBefore() const { return this->answers_before; }
+
   /// How far the body of the current answer has been received.
   [[nodiscard]] BodyProgress Progress() const;
 
@@ -145,13 +148,14 @@
   net::HeldBytes held;  ///< what was read of the answer and not handed on
   std::string request_id;
   std::optional<net::asio::ip::address> through;
-  OpenAttempt open;             ///< watched from the time that the request is sent
-  bool is_repeat = false;       ///< the request was sent before; the lease counts one
-  bool is_interrupted = false;  ///< this node ended the read in progress
-  std::size_t received = 0;     ///< bytes of the current answer
-  std::size_t head_bytes = 0;   ///< of these, before the body was read
-  net::SteadyTime head_at;      ///< time of the head of the current answer
-  std::size_t discarded = 0;    ///< bytes of interim heads and of answers to other requests
+  OpenAttempt open;                ///< watched from the time that the request is sent
+  bool is_repeat = false;          ///< the request was sent before; the lease counts one
+  std::size_t answers_before = 0;  ///< on the connection, before the request
+  bool is_interrupted = false;     ///< this node ended the read in progress
+  std::size_t received = 0;        ///< bytes of the current answer
+  std::size_t head_bytes = 0;      ///< of these, before the body was read
+  net::SteadyTime head_at;         ///< time of the head of the current answer
+  std::size_t discarded = 0;       ///< bytes of interim heads and of answers to other requests
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -24,6 +24,9 @@
   std::optional<net::asio::ip::address> through;  ///< peer that the connection leads through
   bool is_written = true;                         ///< the last request has been written completely
   bool is_reused = false;                         ///< has carried an earlier request
+  std::size_t answers = 0;                        ///< whole answers to earlier requests
+  std::string request;                            ///< id of the current or the last request
+  std::string earlier_request;                    ///< id of the request before
   net::SteadyTime sent_at;                        ///< when the current request was sent
   net::SteadyTime idle_since;
   std::chrono::milliseconds idle_before{0};    ///< idle time before the current request
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -183,6 +183,8 @@
   AnswerStream stream(attempt, answer.framing);
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
+  this->first_event_id.reset();
+  this->answers_before = attempt.AnswersBefore();
   bool has_advanced = true;
   while (true) {
     const net::SteadyTime now = net::Now();
@@ -205,6 +207,9 @@
       co_return Step::kCancelled;
     }
     if (!part.events.empty()) {
+      if (!this->first_event_id) {
+        this->first_event_id = part.events.front().id;
+      }
       this->silence_recorded = false;
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
         this->RecordAnswer(true);
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -92,7 +92,9 @@
   if (this->framing) {
     line.With("framing", NameOf(*this->framing))
         .With("last_event", this->last_event.value_or(-1))
-        .With("unfinished_bytes", this->unfinished_bytes);
+        .With("unfinished_bytes", this->unfinished_bytes)
+        .With("first_event", this->first_event_id.value_or(-1))
+        .With("answers_before", this->answers_before);
   }
   if (this->first_event != net::SteadyTime{}) {
     line.With("first_event_ms",
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -136,6 +136,8 @@
   std::optional<AnswerFraming> framing;      ///< of the last streamed answer
   std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
   std::optional<std::int64_t> last_event;
+  std::optional<std::int64_t> first_event_id;  ///< of the last streamed answer
+  std::size_t answers_before = 0;              ///< on the connection of that answer
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
--- a/src/net/socket_options.cc
+++ b/src/net/socket_options.cc
@@ -52,6 +52,12 @@
   }
 }
 
+std::size_t AvailableBytes(tcp::socket& socket) {
+  ErrorCode error;
+  const std::size_t bytes = socket.available(error);
+  return error ? 0 : bytes;
+}
+
 bool IsIdleAndOpen(tcp::socket& socket) {
   if (!socket.is_open()) {
     return false;
--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -15,6 +15,9 @@
 /// @param socket not open.
 void BindSource(tcp::socket& socket, const asio::ip::address& address);
 
+/// Returns the number of bytes that were received and not read; 0 for a closed connection.
+[[nodiscard]] std::size_t AvailableBytes(tcp::socket& socket);
+
 /// Tells whether an idle connection can be reused: it is open, and no error or byte is pending.
 [[nodiscard]] bool IsIdleAndOpen(tcp::socket& socket);
 
