Give each request a connection of its own to its endpoint

Cause: HTTP gives an answer to a request by its place on the connection. The node reused connections and checked that an answer is its own at its head only. An endpoint that answers twice put bytes of the earlier answer into the next one: a last chunk ended a stream, and the parser took it for the end.

Change: a connection carries one request. The pool, the handling of idle connections that an endpoint had given up, and their limits are gone, with the test of those limits and the check of Keep-Alive in the head of an answer, which nothing reads any more; endpoint_attempt_test has a case that no attempt uses a connection that carried another request. The last connection to each endpoint stays open unused: it shows that the endpoint lives (containment) and what it sends late (stray_bytes place=idle).

--- a/src/apps/node/metric_help.cc
+++ b/src/apps/node/metric_help.cc
@@ -30,8 +30,6 @@
     {"gateway_quota_messages_total", "Messages about quotas, by kind."},
     {"gateway_not_executed_total", "Attempts that an endpoint turned down, by status."},
     {"gateway_placed_by_work_total", "Attempts at services placed by work left, by reason."},
-    {"gateway_stale_connections_total",
-     "Attempts repeated as the endpoint had given up the idle connection."},
     {"gateway_stray_bytes_total",
      "Times that an endpoint sent bytes that belong to no answer expected, by place."},
     {"job_results_total", "Results of batch items that became durable."},
--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -323,7 +323,7 @@
         this->endpoint_follower.IsReachable() || this->store.IsServingThisNode(),
         !this->peers.PeerServedByStore().is_unspecified(), net::Now());
     this->presence.NoteStore(this->node_follower.IsReachable(), net::Now());
-    this->gateway.pool.Prune(net::Now());
+    this->gateway.idle_connections.Prune(net::Now());
     this->gateway.registry.Prune(net::Now());
     this->gateway.quarantine.Prune(net::Now());
     this->PruneLimits();
--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -40,9 +40,6 @@
   /// Records that a peer was heard of.
   void RecordNews(const Address& peer, relay::PeerNews news);
 
-  /// Whether an open connection may carry another request: it leads through no leaving peer.
-  [[nodiscard]] bool MayReuse(const internal::EndpointConnection& connection) const;
-
   /// Opens a connection.
   /// @param connection not connected. @param until time limit of the whole.
   /// @param cancel closes the connection when cancelled.
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -220,11 +220,6 @@
   /// Ends the suspicion of an endpoint that only this node did not reach.
   static void EndSuspicion(EndpointState& state);
 
-  /// Records that the endpoint had dropped a connection before a request was sent on it.
-  /// @param idle_time idle time of the connection before that request.
-  static void RecordStaleConnection(EndpointState& state, std::chrono::milliseconds idle_time,
-                                    net::SteadyTime now);
-
   /// Records that the endpoint turned a request down as full.
   static void RecordFull(EndpointState& state, net::SteadyTime now);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,7 +5,7 @@
 #include "gateway/admission.h"
 #include "gateway/endpoint_paths.h"
 #include "gateway/endpoint_registry.h"
-#include "gateway/internal/connection_pool.h"
+#include "gateway/internal/idle_connections.h"
 #include "gateway/part_quarantine.h"
 #include "gateway/route_durations.h"
 #include "gateway/route_table.h"
@@ -36,7 +36,7 @@
   placement::CostEstimator costs;  ///< of requests, where services are placed by work
   net::MemoryBudget memory;        ///< of bytes that wait for slow readers
   framework::Metrics metrics;
-  internal::ConnectionPool pool{this->metrics};
+  internal::IdleConnections idle_connections{this->metrics};
   EndpointPaths paths{this->executor, this->registry, this->metrics};
   bool endpoints_loaded = false;  ///< the list of endpoints has been loaded once
   /// The peers have sent what they know of held parts, or have been waited for.
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -17,12 +17,7 @@
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kIdleMargin{700};  // reuse ends this long before the endpoint's limit
-// If the endpoint states none; those close connections after slightly more.
-constexpr milliseconds kDefaultIdleLimit{1000};
-constexpr milliseconds kMaxStaleResetDelay{40};  // the reset arrives within a round trip
-constexpr milliseconds kMinStaleIdle{50};  // a reset after less idle time is due to the request
-constexpr int kMaxLateAnswers = 3;         // answers to earlier requests to discard
+constexpr int kMaxOtherAnswers = 3;  // answers to other requests to discard
 // The buffer grows for answers beyond this, so that they take fewer reads.
 constexpr std::size_t kLargeAnswerBytes = 32 << 10;
 constexpr std::size_t kLargeReadBytes = 64 << 10;
@@ -40,15 +35,13 @@
 }
 
 /// Writes a request, concurrently with the read of its answer.
-awaitable<void> WriteRequest(ConnectionPool::Connection connection,
+awaitable<void> WriteRequest(std::shared_ptr<EndpointConnection> connection,
                              std::shared_ptr<net::Request> message, net::MemoryBudget& memory) {
   net::HeldBytes held(&memory);
   held.Set(message->body().capacity());
   const auto [error, written] =
       co_await net::http::async_write(connection->stream, *message, net::kAwaitWithError);
-  if (!error) {
-    connection->is_written = true;
-  }
+  connection->is_written = !error;
 }
 
 }  // namespace
@@ -81,18 +74,9 @@
   }
 }
 
-awaitable<ConnectOutcome> EndpointAttempt::Connect(net::SteadyTime until,
-                                                   milliseconds longest_idle) {
-  const bool through_peer = this->gateway.paths.UsesPeer(*this->endpoint);
-  do {
-    this->connection =
-        this->gateway.pool.Take(*this->endpoint, longest_idle, through_peer, net::Now());
-  } while (this->connection && !this->gateway.paths.MayReuse(*this->connection));
-  if (this->connection) {
-    co_return ConnectOutcome::kConnected;
-  }
+awaitable<ConnectOutcome> EndpointAttempt::Connect(net::SteadyTime until) {
   this->connection = std::make_shared<EndpointConnection>(this->gateway.executor, this->endpoint);
-  const ConnectionPool::Connection held = this->connection;
+  const std::shared_ptr<EndpointConnection> held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
   const ConnectOutcome outcome = co_await this->gateway.paths.Open(held, until, this->cancel);
   co_return this->cancel.IsCancelled() ? ConnectOutcome::kFailed : outcome;
@@ -101,22 +85,17 @@
 awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::Start(net::Request message,
                                                                 std::string request_id,
                                                                 AttemptLimits limits) {
-  const ConnectOutcome connected = co_await this->Connect(limits.answer_by, limits.longest_idle);
+  const ConnectOutcome connected = co_await this->Connect(limits.answer_by);
   if (connected != ConnectOutcome::kConnected) {
     this->Abort();
     co_return connected == ConnectOutcome::kNoPath ? AttemptFailure::kNoPath
                                                    : AttemptFailure::kNotSent;
   }
   const bool is_head_request = message.method() == net::http::verb::head;
-  const ConnectionPool::Connection held = this->connection;
+  const std::shared_ptr<EndpointConnection> held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
-  held->is_written = false;
-  if (std::exchange(this->is_repeat, true)) {
-    this->gateway.registry.Limits().RecordSent(this->endpoint->incarnation, net::Now());
-  }
   this->request_id = std::move(request_id);
-  held->earlier_request = std::exchange(held->request, this->request_id);
-  this->answers_before = held->answers;
+  held->request = this->request_id;
   this->discarded = 0;
   this->is_interrupted = false;
   held->sent_at = net::Now();
@@ -131,9 +110,6 @@
              WriteRequest(held, std::move(shared_message), this->gateway.memory));
   StartOutcome outcome = co_await this->ReadHead(is_head_request, limits.answer_by);
   if (const auto* failure = std::get_if<AttemptFailure>(&outcome)) {
-    if (*failure == AttemptFailure::kStale && !this->through) {
-      EndpointFeedback::RecordStaleConnection(*this->endpoint, held->idle_before, net::Now());
-    }
     if (*failure == AttemptFailure::kUnknown && this->IsLostAtOnce(*held)) {
       this->gateway.paths.RecordLost(this->endpoint->key,
                                      net::ToMilliseconds(net::Now() - held->sent_at));
@@ -147,7 +123,7 @@
   if (net::Now() >= until) {
     co_return net::ErrorCode(net::beast::error::timeout);
   }
-  const ConnectionPool::Connection held = this->connection;
+  const std::shared_ptr<EndpointConnection> held = this->connection;
   this->SizeBuffer();
   held->stream.expires_at(until);
   const auto [error, read] = co_await net::http::async_read_some(
@@ -214,7 +190,7 @@
 }
 
 bool EndpointAttempt::IsLostAtOnce(const EndpointConnection& used) const {
-  return !used.through && !used.is_reused && !this->is_interrupted && this->NothingRead(used) &&
+  return !used.through && !this->is_interrupted && this->NothingRead(used) &&
          !this->cancel.IsCancelled();
 }
 
@@ -230,12 +206,7 @@
     this->AbortForSize();
     return AttemptFailure::kOverLimit;
   }
-  const EndpointConnection& used = *this->connection;
-  const bool was_prompt = net::Now() - used.sent_at < kMaxStaleResetDelay;
-  const bool was_idle = used.is_reused && used.idle_before >= kMinStaleIdle;
-  return was_idle && this->NothingRead(used) && was_prompt && !this->cancel.IsCancelled()
-             ? AttemptFailure::kStale
-             : AttemptFailure::kUnknown;
+  return AttemptFailure::kUnknown;
 }
 
 awaitable<net::ErrorCode> EndpointAttempt::ReadNextHead(bool is_head_request,
@@ -257,8 +228,8 @@
 awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::ReadHead(bool is_head_request,
                                                                    net::SteadyTime until) {
   std::size_t interim_heads = 0;
-  int late_answers = 0;
-  while (late_answers <= kMaxLateAnswers) {
+  int other_answers = 0;
+  while (other_answers <= kMaxOtherAnswers) {
     const net::ErrorCode error = co_await this->ReadNextHead(is_head_request, until);
     if (error) {
       co_return this->FailureOf(error);
@@ -292,7 +263,7 @@
     if (failure) {
       co_return *failure;
     }
-    ++late_answers;
+    ++other_answers;
   }
   co_return AttemptFailure::kUnknown;
 }
@@ -339,23 +310,12 @@
   if (stray > 0) {
     ReportStrayBytes(this->gateway.metrics, *this->connection, StrayPlace::kAfterAnswer, stray);
   }
-  const bool reusable = this->parser->keep_alive() && !this->parser->need_eof() &&
-                        this->connection->is_written && stray == 0;
-  if (!reusable) {
-    this->Abort();
-    return;
+  const bool may_stay_open = this->parser->keep_alive() && !this->parser->need_eof() &&
+                             this->connection->is_written && stray == 0 && !this->through;
+  if (may_stay_open) {
+    this->gateway.idle_connections.Keep(std::move(this->connection), net::Now());
   }
-  this->cancel.OnCancel(nullptr);
-  this->gateway.paths.Forget(this->open);
-  if (this->connection->buffer.capacity() >= kLargeReadBytes) {
-    this->connection->buffer.shrink_to_fit();
-  }
-  const EndpointAnswer decoded = platform::DecodeAnswer(this->parser->get().base());
-  this->connection->idle_limit =
-      decoded.idle_limit ? milliseconds(*decoded.idle_limit) - kIdleMargin : kDefaultIdleLimit;
-  ++this->connection->answers;
-  this->gateway.pool.Return(std::move(this->connection), net::Now());
-  this->connection.reset();
+  this->Abort();
 }
 
 void EndpointAttempt::AbortAfter(const net::ErrorCode& error) {
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -6,7 +6,7 @@
 #include <variant>
 
 #include "gateway/cancel_scope.h"
-#include "gateway/internal/connection_pool.h"
+#include "gateway/internal/endpoint_connection.h"
 #include "gateway/types/answer_bound.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
@@ -48,15 +48,12 @@
 /// Limits of an attempt.
 struct AttemptLimits {
   net::SteadyTime answer_by;  ///< time by which the head of the answer must be received
-  /// Longest idle time of a connection to reuse; 0 opens a new connection.
-  std::chrono::milliseconds longest_idle{0};
   /// The request may be sent again, so a silent attempt may be ended when this node is cut off.
   bool may_repeat = false;
 };
 
-/// Sends one request to one endpoint and reads the answer. Returns the connection to the pool after
-/// a complete answer, otherwise closes it. Time limits hold and AnswerLimits apply whatever
-/// arrives.
+/// Sends one request to one endpoint on a connection of its own and reads the answer. Time limits
+/// hold and AnswerLimits apply whatever arrives.
 class EndpointAttempt {
  public:
   using StartOutcome = std::variant<AnswerHead, AttemptFailure>;
@@ -78,9 +75,6 @@
     return this->through;
   }
 
-  /// Number of answers that the connection had carried before the current request.
-  [[nodiscard]] std::size_t AnswersBefore() const { return this->answers_before; }
-
   /// How far the body of the current answer has been received.
   [[nodiscard]] BodyProgress Progress() const;
 
@@ -94,8 +88,8 @@
   /// @param until time limit of the read.
   net::asio::awaitable<BodyPiece> ReadRest(std::size_t most, net::SteadyTime until);
 
-  /// Reads the rest of an answer that nobody needs, so that its connection can be reused, or closes
-  /// the connection if the rest is long or slow.
+  /// Reads the rest of an answer that nobody needs, or closes the connection if the rest is long or
+  /// slow.
   /// @param until time limit of the read.
   /// @return the state of the body; BodyState::kTimedOut also for a rest that is slow.
   net::asio::awaitable<BodyState> Discard(net::SteadyTime until);
@@ -113,15 +107,14 @@
  private:
   using Parser = net::http::response_parser<net::http::string_body>;
 
-  net::asio::awaitable<ConnectOutcome> Connect(net::SteadyTime until,
-                                               std::chrono::milliseconds longest_idle);
+  net::asio::awaitable<ConnectOutcome> Connect(net::SteadyTime until);
   net::asio::awaitable<StartOutcome> ReadHead(bool is_head_request, net::SteadyTime until);
   /// Reads available bytes of the answer. All reads of an answer go through here: an answer whose
   /// bytes are always there would otherwise outlast the stream's own time limit.
   net::asio::awaitable<net::ErrorCode> ReadSome(net::SteadyTime until);
   net::asio::awaitable<net::ErrorCode> ReadNextHead(bool is_head_request, net::SteadyTime until);
   [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error);
-  /// Whether no byte of an answer to the current request, or to an earlier one, was read.
+  /// Whether no byte of an answer was read.
   [[nodiscard]] bool NothingRead(const EndpointConnection& used) const;
   /// Whether a connection was opened directly for this request and lost without any answer.
   [[nodiscard]] bool IsLostAtOnce(const EndpointConnection& used) const;
@@ -143,19 +136,17 @@
   Gateway& gateway;
   std::shared_ptr<EndpointState> endpoint;
   CancelScope& cancel;
-  ConnectionPool::Connection connection;
+  std::shared_ptr<EndpointConnection> connection;
   std::unique_ptr<Parser> parser;
   net::HeldBytes held;  ///< what was read of the answer and not handed on
   std::string request_id;
   std::optional<net::asio::ip::address> through;
-  OpenAttempt open;                ///< watched from the time that the request is sent
-  bool is_repeat = false;          ///< the request was sent before; the lease counts one
-  std::size_t answers_before = 0;  ///< on the connection, before the request
-  bool is_interrupted = false;     ///< this node ended the read in progress
-  std::size_t received = 0;        ///< bytes of the current answer
-  std::size_t head_bytes = 0;      ///< of these, before the body was read
-  net::SteadyTime head_at;         ///< time of the head of the current answer
-  std::size_t discarded = 0;       ///< bytes of interim heads and of answers to other requests
+  OpenAttempt open;             ///< watched from the time that the request is sent
+  bool is_interrupted = false;  ///< this node ended the read in progress
+  std::size_t received = 0;     ///< bytes of the current answer
+  std::size_t head_bytes = 0;   ///< of these, before the body was read
+  net::SteadyTime head_at;      ///< time of the head of the current answer
+  std::size_t discarded = 0;    ///< bytes of interim heads and of answers to other requests
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -37,7 +37,7 @@
     co_return connect_error == net::asio::error::connection_refused ? EndpointFate::kEnded
                                                                     : EndpointFate::kUnknown;
   }
-  if (gateway.pool.HasOpen(endpoint)) {
+  if (gateway.idle_connections.IsOpen(endpoint.incarnation)) {
     co_return EndpointFate::kAlive;
   }
   std::array<char, 1> byte{};
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -10,7 +10,7 @@
 
 namespace lentilhead::gateway::internal {
 
-/// A connection to an endpoint. It carries one request at a time.
+/// A connection to an endpoint. It carries one request, so that no byte on it belongs to another.
 struct EndpointConnection {
   EndpointConnection(const net::asio::any_io_executor& executor,
                      std::shared_ptr<EndpointState> endpoint)
@@ -22,15 +22,10 @@
   net::beast::flat_buffer buffer{AnswerLimits::kMaxFramingBytes};
   std::shared_ptr<EndpointState> endpoint;
   std::optional<net::asio::ip::address> through;  ///< peer that the connection leads through
-  bool is_written = true;                         ///< the last request has been written completely
-  bool is_reused = false;                         ///< has carried an earlier request
-  std::size_t answers = 0;                        ///< whole answers to earlier requests
-  std::string request;                            ///< id of the current or the last request
-  std::string earlier_request;                    ///< id of the request before
-  net::SteadyTime sent_at;                        ///< when the current request was sent
-  net::SteadyTime idle_since;
-  std::chrono::milliseconds idle_before{0};    ///< idle time before the current request
-  std::chrono::milliseconds idle_limit{1000};  ///< not reused after this idle time
+  bool is_written = false;                        ///< the request has been written completely
+  std::string request;                            ///< id of the request
+  net::SteadyTime sent_at;                        ///< when the request was sent
+  net::SteadyTime idle_since;                     ///< end of the answer
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_feedback.cc
+++ b/src/gateway/internal/endpoint_feedback.cc
@@ -14,7 +14,6 @@
 constexpr milliseconds kMaxSuspicion{3000};  // a recovered endpoint gets requests again by then
 constexpr milliseconds kReplacedSuspicion{10000};  // the outdated entry expires long before
 // Most network disruptions that drop idle connections are over by then.
-constexpr milliseconds kStaleIdleLifetime{10000};
 constexpr int kMaxBackoffExponent = 5;
 constexpr double kUnitLatencyWeight = 0.15;  // of the newest sample; the last ten weigh about 80 %
 
@@ -33,13 +32,6 @@
   state.unreachable = false;
 }
 
-void EndpointFeedback::RecordStaleConnection(EndpointState& state, milliseconds idle_time,
-                                             net::SteadyTime now) {
-  const bool applies = now < state.stale_idle_until;
-  state.stale_idle = applies ? std::min(state.stale_idle, idle_time) : idle_time;
-  state.stale_idle_until = now + kStaleIdleLifetime;
-}
-
 void EndpointFeedback::RecordFull(EndpointState& state, net::SteadyTime now) {
   state.full_until = now + kFullPause;
 }
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -85,12 +85,6 @@
   }
 }
 
-bool EndpointPaths::MayReuse(const internal::EndpointConnection& connection) const {
-  const bool is_leaving =
-      connection.through && this->peers && this->peers->IsLeaving(*connection.through, net::Now());
-  return !is_leaving;
-}
-
 bool EndpointPaths::UsesPeer(const EndpointState& endpoint) const {
   return this->peers && this->evidence.PathTo(endpoint.key, net::Now()) == relay::Path::kPeer;
 }
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -184,7 +184,6 @@
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
   this->first_event_id.reset();
-  this->answers_before = attempt.AnswersBefore();
   bool has_advanced = true;
   while (true) {
     const net::SteadyTime now = net::Now();
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -12,8 +12,8 @@
 using std::chrono::milliseconds;
 
 bool OnlineRun::IsConnectionLoss(std::string_view cause) {
-  return cause == NameOf(AttemptFailure::kUnknown) || cause == NameOf(AttemptFailure::kStale) ||
-         cause == kStreamCutCause || cause == kBodyCutCause;
+  return cause == NameOf(AttemptFailure::kUnknown) || cause == kStreamCutCause ||
+         cause == kBodyCutCause;
 }
 
 const PromptKeys& OnlineRun::AllKeys() {
@@ -42,8 +42,7 @@
   const net::SteadyTime lost_at = net::Now();
   const EndpointFate fate = co_await EndpointCheck::Observe(this->gateway, lease.Endpoint());
   const bool ended = fate == EndpointFate::kEnded;
-  const bool is_stale = cause == NameOf(AttemptFailure::kStale);
-  if (ended || (fate == EndpointFate::kUnknown && !is_stale)) {
+  if (ended || fate == EndpointFate::kUnknown) {
     const RequestEnd end{this->routed.request.id, this->AllKeys(), lease.Endpoint().incarnation,
                          this->stage, ended};
     this->gateway.quarantine.RecordEnd(end, lost_at);
@@ -102,7 +101,7 @@
   if (this->attempt->Through() && is_excused) {
     this->gateway.paths.RecordBroken(*this->attempt->Through());
   }
-  if (cause != NameOf(AttemptFailure::kStale) && !this->silence_recorded && !is_excused) {
+  if (!this->silence_recorded && !is_excused) {
     EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), unreachable);
   }
   const EndpointFate fate = co_await this->RecordLoss(lease, cause);
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -16,10 +16,6 @@
 using net::http::status;
 using std::chrono::milliseconds;
 
-// Requests that must not run twice reuse only connections that have been idle for less: endpoints
-// do not close these.
-constexpr milliseconds kSafeIdleTime{200};
-
 /// Reason that is told for a refusal when all endpoints are full.
 std::string_view ReasonOf(admission::RefusalCause cause) {
   switch (cause) {
@@ -93,8 +89,7 @@
     line.With("framing", NameOf(*this->framing))
         .With("last_event", this->last_event.value_or(-1))
         .With("unfinished_bytes", this->unfinished_bytes)
-        .With("first_event", this->first_event_id.value_or(-1))
-        .With("answers_before", this->answers_before);
+        .With("first_event", this->first_event_id.value_or(-1));
   }
   if (this->first_event != net::SteadyTime{}) {
     line.With("first_event_ms",
@@ -351,14 +346,12 @@
   this->attempt = &attempt;
   this->endpoint = &lease.Endpoint();
   this->silence_recorded = false;
-  const AttemptLimits limits{this->routed.deadline,
-                             this->routed.IsRepeatable() ? milliseconds::max() : kSafeIdleTime,
-                             may_retry};
   if (may_retry) {
     this->silence.Start(
         AttemptPolicy::SilentWithoutAnswerAt(route, now, this->routed.deadline, true));
   }
-  EndpointAttempt::StartOutcome outcome = co_await this->StartAttempt(attempt, message, limits);
+  EndpointAttempt::StartOutcome outcome = co_await attempt.Start(
+      std::move(message), this->routed.request.id, AttemptLimits{this->routed.deadline, may_retry});
   if (this->silence.Stop()) {
     outcome = AttemptFailure::kTimedOut;
   }
@@ -385,31 +378,6 @@
   co_return co_await this->HandleAnswer(attempt, lease, std::move(answer));
 }
 
-awaitable<EndpointAttempt::StartOutcome> OnlineRun::StartAttempt(EndpointAttempt& attempt,
-                                                                 const net::Request& message,
-                                                                 AttemptLimits limits) {
-  EndpointAttempt::StartOutcome outcome =
-      co_await attempt.Start(message, this->routed.request.id, limits);
-  const AttemptFailure* failure = std::get_if<AttemptFailure>(&outcome);
-  const bool is_stale = failure != nullptr && *failure == AttemptFailure::kStale;
-  if (!is_stale || !this->routed.IsRepeatable() || this->cancel.IsCancelled()) {
-    co_return outcome;
-  }
-  net::LogLine("attempt_repeated", net::LogImportance::kRoutine)
-      .With("request", this->routed.request.id)
-      .With("endpoint", this->last_endpoint)
-      .With("cause", NameOf(*failure));
-  this->gateway.metrics.GetCounter("gateway_stale_connections_total").Add();
-  limits.longest_idle = milliseconds(0);
-  outcome = co_await attempt.Start(message, this->routed.request.id, limits);
-  failure = std::get_if<AttemptFailure>(&outcome);
-  if (failure != nullptr &&
-      (*failure == AttemptFailure::kNotSent || *failure == AttemptFailure::kNoPath)) {
-    co_return AttemptFailure::kUnknown;  // the first message may have run
-  }
-  co_return outcome;
-}
-
 awaitable<OnlineRun::Step> OnlineRun::HandleAnswer(EndpointAttempt& attempt,
                                                    const EndpointLease& lease, AnswerHead answer) {
   if (answer.decoded.load) {
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -48,9 +48,6 @@
 
   net::asio::awaitable<AdmissionOutcome> AcquireSlot();
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
-  net::asio::awaitable<EndpointAttempt::StartOutcome> StartAttempt(EndpointAttempt& attempt,
-                                                                   const net::Request& message,
-                                                                   AttemptLimits limits);
   net::asio::awaitable<Step> HandleAnswer(EndpointAttempt& attempt, const EndpointLease& lease,
                                           AnswerHead answer);
   net::asio::awaitable<Step> ForwardWholeAnswer(EndpointAttempt& attempt,
@@ -137,7 +134,6 @@
   std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
   std::optional<std::int64_t> last_event;
   std::optional<std::int64_t> first_event_id;  ///< of the last streamed answer
-  std::size_t answers_before = 0;              ///< on the connection of that answer
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
--- a/src/gateway/internal/stray_bytes.cc
+++ b/src/gateway/internal/stray_bytes.cc
@@ -10,8 +10,6 @@
       .With("endpoint", connection.endpoint->entry.id)
       .With("place", NameOf(place))
       .With("request", connection.request)
-      .With("earlier_request", connection.earlier_request)
-      .With("answers_before", connection.answers)
       .With("bytes", bytes);
   metrics.GetCounter("gateway_stray_bytes_total", {{"place", std::string(NameOf(place))}}).Add();
 }
--- a/src/gateway/tests/endpoint_attempt_test.cc
+++ b/src/gateway/tests/endpoint_attempt_test.cc
@@ -129,5 +129,46 @@
              });
 }
 
+/// Answers one request on each connection and leaves the connection open.
+awaitable<void> AnswerOnEach(net::tcp::acceptor& acceptor, std::vector<net::tcp::socket>& sockets) {
+  const std::string answer = HeadFor("r", "Content-Length: 0");
+  while (true) {
+    net::tcp::socket socket(acceptor.get_executor());
+    const auto [error] = co_await acceptor.async_accept(socket, net::kAwaitWithError);
+    REQUIRE(!error);
+    co_await net::asio::async_write(socket, net::asio::buffer(answer), net::kAwaitWithError);
+    sockets.push_back(std::move(socket));
+  }
+}
+
+TEST_CASE("an attempt uses no connection that carried another request") {
+  net::asio::io_context loop;
+  Gateway gateway(loop.get_executor(), "z");
+  net::tcp::acceptor acceptor(loop, {net::asio::ip::address_v4::loopback(), 0});
+  std::vector<net::tcp::socket> sockets;
+  auto state = std::make_shared<EndpointState>();
+  state->entry.id = "i-1";
+  state->entry.address = acceptor.local_endpoint();
+  CancelScope cancel;
+  net::asio::co_spawn(loop, AnswerOnEach(acceptor, sockets), net::asio::detached);
+  net::asio::co_spawn(
+      loop,
+      [&]() -> awaitable<void> {
+        for (int number = 0; number < 3; ++number) {
+          EndpointAttempt attempt(gateway, state, cancel);
+          const EndpointAttempt::StartOutcome outcome =
+              co_await attempt.Start(net::Request(net::http::verb::post, "/x", 11), "r",
+                                     {net::Now() + milliseconds(2000)});
+          CHECK(std::holds_alternative<AnswerHead>(outcome));
+          const BodyPiece piece = co_await attempt.ReadPiece(net::Now() + milliseconds(2000));
+          CHECK(piece.state == BodyState::kEnd);
+        }
+        loop.stop();
+      },
+      net::asio::detached);
+  loop.run_for(std::chrono::seconds(20));
+  CHECK(sockets.size() == 3);
+}
+
 }  // namespace
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/types/attempt_failure.h
+++ b/src/gateway/types/attempt_failure.h
@@ -10,7 +10,6 @@
   kNoPath,     ///< as kNotSent; this node is cut off and no peer connects it
   kUnknown,    ///< the request was written at least in part; it may have run
   kTimedOut,   ///< as kUnknown; the head did not arrive in time
-  kStale,      ///< as kUnknown; the endpoint had dropped the reused connection
   kOverLimit,  ///< as kUnknown; the answer exceeds a limit on its size
 };
 
@@ -25,8 +24,6 @@
       return "unknown";
     case AttemptFailure::kTimedOut:
       return "timed_out";
-    case AttemptFailure::kStale:
-      return "stale_connection";
     case AttemptFailure::kOverLimit:
       return "over_limit";
   }
--- a/src/gateway/types/endpoint_answer.h
+++ b/src/gateway/types/endpoint_answer.h
@@ -19,7 +19,6 @@
   bool is_leaving = false;      ///< the endpoint finishes its open work and exits
   std::optional<ReportedLoad> load;
   LimitNotice limit;
-  std::optional<std::chrono::seconds> idle_limit;  ///< idle time before it closes a connection
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -40,15 +40,6 @@
   /// Moving average of the time per unit of work: an answer or a stream event. 0 without a sample.
   double unit_latency_ms = 0;
   placement::EndpointWork work;  ///< of services that are placed by work
-  /// Shortest idle time after which the endpoint had dropped a connection.
-  std::chrono::milliseconds stale_idle{0};
-  net::SteadyTime stale_idle_until;  ///< `stale_idle` applies until then
-
-  /// Longest idle time after which a connection may be reused, by the stale connections seen.
-  /// @return half of `stale_idle` while that applies, else no limit.
-  [[nodiscard]] std::chrono::milliseconds IdleLimit(net::SteadyTime now) const {
-    return now < this->stale_idle_until ? this->stale_idle / 2 : std::chrono::milliseconds::max();
-  }
 
   /// Requests of this node in flight.
   [[nodiscard]] int OwnTotal() const { return this->own_online + this->own_batch; }
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -211,7 +211,7 @@
   work.AddTo(choice, 0, net::Now());
   work.RecordSent(this->lease, spec.id, net::Now());
   EndpointAttempt attempt(this->gateway, this->lease.Shared(), this->cancel);
-  AttemptLimits limits{net::Now() + kItemEventTimeout, milliseconds::max(), true};
+  AttemptLimits limits{net::Now() + kItemEventTimeout, true};
   EndpointAttempt::StartOutcome outcome =
       co_await attempt.Start(std::move(message), request.id, limits);
   if (this->cancel.IsCancelled()) {
@@ -222,11 +222,10 @@
                          *failure == gateway::AttemptFailure::kTimedOut;
     const bool is_excused = *failure == gateway::AttemptFailure::kNoPath ||
                             (is_loss && this->NotePathLoss(attempt.Through()));
-    if (*failure != gateway::AttemptFailure::kStale && !is_excused) {
+    if (!is_excused) {
       this->RecordFailure(*failure != gateway::AttemptFailure::kUnknown);
     }
-    this->is_connection_lost = *failure == gateway::AttemptFailure::kUnknown ||
-                               *failure == gateway::AttemptFailure::kStale;
+    this->is_connection_lost = *failure == gateway::AttemptFailure::kUnknown;
     co_return ItemRunOutcome::kResume;
   }
   const AnswerHead answer = std::move(std::get<AnswerHead>(outcome));
