Close a connection of its own after its one request

Seen: a request that must not be sent twice got a new connection, which libsoup then used for any other request to the endpoint. An endpoint that sent the answer to it once more, late, answered the next request with it. Cause: HttpRequest::new_connection asked for a new connection, not for one that carries nothing else. Evidence: framework_tests "an answer sent again late on a connection of its own answers no later request" failed before (the body "own" for the request "other"), and passes now. Fix: the client shuts the connection down when the call ends, so libsoup finds it at its end and drops it. The stand-in RepeatingServer writes the answer before once more in front of each answer on a connection.

--- a/src/framework/http_client.h
+++ b/src/framework/http_client.h
@@ -16,7 +16,8 @@
 class HttpSessionPool;
 }
 
-/// HTTP client of one task, on libsoup. Keeps connections open between requests.
+/// HTTP client of one task, on libsoup. Keeps connections open between requests,
+/// but for those that ask for one of their own.
 class HttpClient {
  public:
   using ResponseHandler = std::function<void(Reply<HttpResponse, HttpFailure>)>;
--- a/src/framework/internal/http_call_state.cc
+++ b/src/framework/internal/http_call_state.cc
@@ -246,6 +246,10 @@
     g_input_stream_close(this->stream, nullptr, nullptr);
     g_clear_object(&this->stream);
   }
+  if (this->request.new_connection && this->socket) {
+    // libsoup uses the connection for other requests otherwise.
+    g_socket_shutdown(this->socket.get(), TRUE, TRUE, nullptr);
+  }
   if (owner && this->session) {
     owner->Release(*this->session);
   }
--- a/src/framework/tests/http_test.cc
+++ b/src/framework/tests/http_test.cc
@@ -8,6 +8,7 @@
 #include "framework/http_server.h"
 #include "framework/json_rpc_client.h"
 #include "framework/json_rpc_server.h"
+#include "standin/engine/repeating_server.h"
 
 namespace lentilhead::framework {
 
@@ -86,6 +87,20 @@
   }
 }
 
+TEST_CASE("an answer sent again late on a connection of its own answers no later request") {
+  const standin::RepeatingServer server(
+      [](const std::string& /*path*/, const std::string& body) { return body; });
+  Loopback loopback;
+  loopback.url = "http://" + server.Address();
+  for (const bool new_connection : {true, false, true}) {
+    HttpRequest request = loopback.Post("/echo", new_connection ? "own" : "other");
+    request.new_connection = new_connection;
+    const auto reply = loopback.Exchange(request);
+    REQUIRE(reply->HasValue());
+    CHECK(reply->Value().body == request.body);
+  }
+}
+
 TEST_CASE("a body over the limit is refused and counted") {
   Loopback loopback;
   loopback.router.Add("POST", "/echo", [](const auto& exchange) {
--- a/src/framework/types/http_message.h
+++ b/src/framework/types/http_message.h
@@ -18,8 +18,9 @@
   std::string body;
   std::chrono::milliseconds timeout{10'000};       ///< Until the headers of the response.
   std::chrono::milliseconds idle_timeout{60'000};  ///< Between two pieces of the body.
-  /// Uses a connection of its own. Any other request may be sent again if an idle connection turns
-  /// out to be closed, so a request that must not run twice sets this.
+  /// Uses a connection of its own, which carries no other request and is closed after the response.
+  /// Any other request may be sent again if an idle connection turns out to be closed, so a request
+  /// that must not run twice sets this.
   bool new_connection = false;
 };
 
