Send one request on each connection to an endpoint of the own deployment

Seen (in tests): with an endpoint that sends the answer before once more, callers of an entry process got the answers of others (4 of 8), items of jobs the results of others (several of 40), the directory an old load report and the controller an old state. Answers carry nothing there that tells whose they are. Fix: endpoint::RequestTo makes every request to an endpoint; each has a connection of its own.

--- a/src/batch/internal/endpoint_worker.cc
+++ b/src/batch/internal/endpoint_worker.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "batch/internal/invariant.h"
+#include "endpoint/endpoint_request.h"
 
 namespace lentilhead::batch::internal {
 
@@ -58,8 +59,7 @@
     return;
   }
   const int in_flight = this->InFlight();
-  framework::HttpRequest request;
-  request.url = "http://" + this->target.address + "/load";
+  framework::HttpRequest request = endpoint::RequestTo(this->target.address, "/load");
   request.timeout = kPollTimeout;
   request.idle_timeout = kPollTimeout;
   this->poll = this->parts.http.Send(std::move(request), [this, in_flight](auto reply) {
--- a/src/batch/internal/item_run.cc
+++ b/src/batch/internal/item_run.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "batch/internal/continuation.h"
+#include "endpoint/endpoint_request.h"
 #include "framework/broken_json.h"
 
 namespace lentilhead::batch::internal {
@@ -49,7 +50,7 @@
                  const endpoint::ServiceSettings& service)
     : item(std::move(item)),
       line(std::move(line)),
-      url("http://" + target.address + this->line.url),
+      address(target.address),
       streamed(CanStream(this->line, service)),
       continued(this->streamed ? ContinuationOf(this->line.body, this->item.grant.partial)
                                : PartialAnswer{}),
@@ -81,17 +82,13 @@
 }
 
 framework::HttpRequest ItemRun::BuildRequest(std::chrono::milliseconds timeout) const {
-  framework::HttpRequest request;
+  framework::HttpRequest request = endpoint::RequestTo(this->address, this->line.url);
   request.method = this->line.method;
-  request.url = this->url;
   request.timeout = timeout;
   request.idle_timeout = timeout;
   request.headers = {
       {"X-Request-Class", "batch"},
       {"Idempotency-Key", this->item.job + "-" + std::to_string(this->item.grant.item)}};
-  // A call that must not be repeated uses a new connection, because a reused one may be half
-  // closed.
-  request.new_connection = this->item.at_most_once;
   if (this->line.method == "GET") {
     return request;
   }
--- a/src/batch/internal/item_run.h
+++ b/src/batch/internal/item_run.h
@@ -49,7 +49,7 @@
 
   GrantedItem item;
   JobLine line;
-  std::string url;
+  std::string address;
   bool streamed;
   PartialAnswer continued;
   StreamAnswer stream;
--- a/src/batch/tests/batch_fleet_test.cc
+++ b/src/batch/tests/batch_fleet_test.cc
@@ -4,6 +4,9 @@
 
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
+
+#include "standin/engine/repeating_server.h"
 
 namespace lentilhead::batch {
 
@@ -27,6 +30,17 @@
   return jobs;
 }
 
+/// Answers of an engine: its load, or an echo of a prompt.
+std::string AnswerOf(const std::string& path, const std::string& body) {
+  if (path == "/load") {
+    return R"({"running":0,"waiting":0,"slots":8,"draining":false})";
+  }
+  const json request = json::parse(body);
+  const std::string text = "re " + request["messages"].back()["content"].get<std::string>();
+  const json answer = {{"choices", {{{"message", {{"role", "assistant"}, {"content", text}}}}}}};
+  return answer.dump();
+}
+
 /// Checks that the results contain each item exactly once.
 void CheckComplete(const std::vector<std::string>& ids, std::size_t items) {
   CHECK(ids.size() == items);
@@ -131,6 +145,35 @@
   CHECK(result["response"]["body"]["choices"][0]["message"]["content"] == "re text");
 }
 
+TEST_CASE("an answer that an endpoint sends again late is no result of the next item") {
+  BatchFleet fleet(1, 0);
+  standin::RepeatingServer endpoint(AnswerOf);
+  fleet.platform.server.ChangeList("profiles", {"repeating", endpoint.Address(), "z"});
+  std::string lines;
+  for (int item = 0; item < 40; ++item) {
+    const json body = {
+        {"model", "m"},
+        {"n", 2},  // answered whole
+        {"messages", {{{"role", "user"}, {"content", "text" + std::to_string(item)}}}}};
+    const json line = {{"custom_id", std::to_string(item)},
+                       {"method", "POST"},
+                       {"url", "/v1/chat/completions"},
+                       {"body", body}};
+    lines += line.dump() + "\n";
+  }
+  const auto accepted = fleet.Call(0, "POST", "/v1/jobs?service=profiles", lines, "key");
+  const std::string job = json::parse(accepted.body)["id"];
+  REQUIRE(fleet.RunUntilState(job, "finished"));
+  std::istringstream results(fleet.Call(0, "GET", "/v1/jobs/" + job + "/results").body);
+  int count = 0;
+  for (std::string line; std::getline(results, line); ++count) {
+    const json result = json::parse(line);
+    const json& choices = result["response"]["body"]["choices"];
+    CHECK(choices[0]["message"]["content"] == "re text" + result["custom_id"].get<std::string>());
+  }
+  CHECK(count == 40);
+}
+
 TEST_CASE("a draining instance hands its jobs over") {
   BatchFleet fleet(2, 2, std::chrono::milliseconds(2));
   const std::vector<std::string> jobs = SubmitSeveral(fleet, 4);
--- a/src/control/internal/endpoint_client.cc
+++ b/src/control/internal/endpoint_client.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "endpoint/endpoint_request.h"
+
 namespace lentilhead::control::internal {
 
 namespace {
@@ -16,10 +18,6 @@
 constexpr int kConflict = 409;
 constexpr int kTooManyRequests = 429;
 
-std::string UrlOf(const ManagedEndpoint& endpoint, const std::string& path) {
-  return "http://" + endpoint.address + path;
-}
-
 std::optional<nlohmann::json> ParseObject(const Reply<HttpResponse, HttpFailure>& reply) {
   if (!reply || reply.Value().head.status != kOk) {
     return std::nullopt;
@@ -85,8 +83,7 @@
 }
 
 void EndpointClient::Observe(const ManagedEndpoint& endpoint, ObservedHandler handler) {
-  HttpRequest request;
-  request.url = UrlOf(endpoint, "/admin/state");
+  HttpRequest request = endpoint::RequestTo(endpoint.address, "/admin/state");
   request.timeout = this->order_timeout;
   request.idle_timeout = this->order_timeout;
   this->Request(std::move(request),
@@ -102,8 +99,7 @@
 
 void EndpointClient::ObserveLoad(const ManagedEndpoint& endpoint, ObservedState state,
                                  ObservedHandler handler) {
-  HttpRequest request;
-  request.url = UrlOf(endpoint, "/load");
+  HttpRequest request = endpoint::RequestTo(endpoint.address, "/load");
   request.timeout = this->order_timeout;
   request.idle_timeout = this->order_timeout;
   this->Request(std::move(request), [state = std::move(state),
@@ -123,16 +119,13 @@
     body["adapters"] = order.desired.adapters;
     body["role"] = order.desired.role;
   }
-  HttpRequest request;
+  HttpRequest request =
+      endpoint::RequestTo(order.endpoint.address, std::string("/admin/") + NameOf(order.kind));
   request.method = "POST";
-  request.url = UrlOf(order.endpoint, std::string("/admin/") + NameOf(order.kind));
   request.content_type = "application/json";
   request.body = body.dump();
   request.timeout = order.kind == OrderKind::kLoad ? this->load_timeout : this->order_timeout;
   request.idle_timeout = this->order_timeout;
-  // An order sent on a half-closed connection of the pool would get no answer, so its outcome would
-  // be unknown.
-  request.new_connection = true;
   this->Request(std::move(request),
                 [handler = std::move(handler)](const auto& reply) { handler(ResultOf(reply)); });
 }
@@ -146,9 +139,8 @@
       {"model", model},
       {"max_tokens", 1},
       {"messages", {{{"role", "user"}, {"content", "Reply with one word."}}}}};
-  HttpRequest request;
+  HttpRequest request = endpoint::RequestTo(check.endpoint.address, "/v1/chat/completions");
   request.method = "POST";
-  request.url = UrlOf(check.endpoint, "/v1/chat/completions");
   request.content_type = "application/json";
   request.body = body.dump();
   request.timeout = this->load_timeout;
--- a/src/control/internal/endpoint_collector.cc
+++ b/src/control/internal/endpoint_collector.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "endpoint/endpoint_request.h"
+
 namespace lentilhead::control::internal {
 
 namespace {
@@ -45,8 +47,7 @@
 }
 
 void EndpointCollector::RequestLoad(std::size_t index, const std::string& address) {
-  framework::HttpRequest request;
-  request.url = "http://" + address + "/load";
+  framework::HttpRequest request = endpoint::RequestTo(address, "/load");
   request.timeout = kLoadReportTimeout;
   request.idle_timeout = kLoadReportTimeout;
   this->pending_requests += 1;
--- a/src/endpoint/internal/directory_state.cc
+++ b/src/endpoint/internal/directory_state.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endpoint/endpoint_request.h"
 #include "endpoint/internal/load_report_parser.h"
 #include "framework/log_event.h"
 
@@ -132,15 +133,15 @@
     return;
   }
   const MonotonicTime requested_at = this->timers.Now();
-  this->report_calls[endpoint.name] =
-      this->http.Send({.url = "http://" + endpoint.address + "/load",
-                       .timeout = this->settings.report_timeout,
-                       .idle_timeout = this->settings.report_timeout},
-                      [weak = weak_from_this(), endpoint, requested_at](auto reply) {
-                        if (const auto state = weak.lock()) {
-                          state->OnReport(endpoint, requested_at, std::move(reply));
-                        }
-                      });
+  framework::HttpRequest request = RequestTo(endpoint.address, "/load");
+  request.timeout = this->settings.report_timeout;
+  request.idle_timeout = this->settings.report_timeout;
+  this->report_calls[endpoint.name] = this->http.Send(
+      std::move(request), [weak = weak_from_this(), endpoint, requested_at](auto reply) {
+        if (const auto state = weak.lock()) {
+          state->OnReport(endpoint, requested_at, std::move(reply));
+        }
+      });
 }
 
 void EndpointDirectory::State::OnReport(const EndpointInfo& endpoint, MonotonicTime requested_at,
--- a/src/endpoint/tests/endpoint_directory_test.cc
+++ b/src/endpoint/tests/endpoint_directory_test.cc
@@ -5,9 +5,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "standin/engine/engine_server.h"
+#include "standin/engine/repeating_server.h"
 #include "standin/platform/platform_fixture.h"
 
 namespace lentilhead::endpoint {
@@ -94,6 +96,27 @@
   CHECK(fixture.Chosen("3").empty());
 }
 
+TEST_CASE("the report before, sent again late, is not taken for the next report") {
+  Fixture fixture;
+  int asked = 0;
+  standin::RepeatingServer endpoint([&](const std::string&, const std::string&) {
+    asked += 1;
+    return "{\"running\":" + std::to_string(asked) + ",\"waiting\":0,\"slots\":8}";
+  });
+  fixture.platform.server.ChangeList(
+      kService, {"repeating", endpoint.Address(), "zone-a", standin::ListState::kLive});
+  fixture.Start();
+  std::set<int> reported;
+  REQUIRE(fixture.RunUntil([&] {
+    const std::optional<LoadReport> report = fixture.directory.ReportOf("repeating");
+    if (report) {
+      reported.insert(report->running);
+    }
+    return asked == 6;
+  }));
+  CHECK(reported == std::set<int>{1, 2, 3, 4, 5});
+}
+
 TEST_CASE("a report of draining stops new work although the list shows the endpoint as live") {
   Fixture fixture;
   fixture.Start();
--- a/src/online/internal/outbound_request.h
+++ b/src/online/internal/outbound_request.h
@@ -18,7 +18,6 @@
   std::string content_type;
   std::string body;
   endpoint::RouteRequest route;
-  bool new_connection = false;
   std::chrono::milliseconds head_timeout{30'000};  ///< Longest wait for the headers of the answer.
   std::chrono::milliseconds data_timeout{30'000};  ///< Longest pause within the body of the answer.
 };
--- a/src/online/internal/request_run.cc
+++ b/src/online/internal/request_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "endpoint/endpoint_request.h"
 #include "framework/hash.h"
 
 namespace lentilhead::online::internal {
@@ -146,9 +147,8 @@
   const auto remaining =
       std::max(milliseconds(1),
                std::chrono::ceil<milliseconds>(this->deadline - this->resources.timers.Now()));
-  framework::HttpRequest built;
+  framework::HttpRequest built = endpoint::RequestTo(address, this->request.path);
   built.method = this->request.method;
-  built.url = "http://" + address + this->request.path;
   built.headers = this->request.headers;
   built.headers.emplace_back("X-Request-Id", this->request.request_id);
   built.headers.emplace_back("X-Request-Class", "online");
@@ -157,7 +157,6 @@
   built.body = body;
   built.timeout = this->request.head_timeout;
   built.idle_timeout = this->request.data_timeout;
-  built.new_connection = this->request.new_connection;
   return built;
 }
 
--- a/src/online/internal/service_api.cc
+++ b/src/online/internal/service_api.cc
@@ -121,9 +121,6 @@
   IntentRun::Call call{RowKeyOf(context.caller->name, idempotency_key), DigestOf(request),
                        std::move(request),
                        DefaultPolicy(this->resources.settings, context.deadline)};
-  // The endpoint might close a reused connection during the send, which would leave the outcome
-  // unknown.
-  call.request.new_connection = true;
   call.policy.engine = false;
   call.policy.repeatable = false;
   call.policy.single_send = true;
