Resume a stream at a further endpoint if the next one answers with an error

An event stream with a content encoding was passed on as events and framed as complete.

Cause: once events had been passed on, an answer other than an event stream was read as a whole answer and ended the request as resume_refused.

An answer that can't continue a stream that has begun is now a failed attempt as any other: its connection is closed, no byte of it is read, and the next endpoint is asked while attempts are left. HasEvents() tells what can be read as events.

Evidence: broken_resumptions_test.py. Before, 10 of 16 kinds of answers cut the stream, and one, with an encoding, ended it as complete with foreign bytes; now it is resumed after one and after two answers of each kind.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -55,16 +55,12 @@
   const bool is_false_refusal =
       (code == 503 || code == 429 || code == 408) && this->record.maybe_run;
   const bool has_failed = code / 100 == 5 || is_false_refusal;
-  if (has_failed && this->routed.IsRepeatable() && this->MayRetry() && !this->stream_begun) {
+  if (has_failed && this->routed.IsRepeatable() && this->MayRetry()) {
     co_return co_await this->AfterFailure(lease, "endpoint_error");
   }
   if (answer.head.result() == status::internal_server_error) {
     EndpointFeedback::RecordErrorAnswer(lease.Endpoint(), net::Now());
   }
-  if (this->stream_begun) {
-    co_await this->Fail(status::bad_gateway, "resume_refused");
-    co_return Step::kDone;
-  }
   if (is_false_refusal) {
     co_await this->Fail(status::bad_gateway, "endpoint_error");
     co_return Step::kDone;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -378,6 +378,17 @@
   co_return co_await this->HandleAnswer(attempt, lease, std::move(answer));
 }
 
+std::optional<std::string_view> OnlineRun::CauseToReject(const AnswerHead& answer) const {
+  const bool is_success = answer.head.result_int() / 100 == 2;
+  if (this->stream_begun && !(is_success && answer.decoded.HasEvents())) {
+    return kResumeRefusedCause;
+  }
+  if (is_success && !answer.decoded.is_signed) {
+    return kUnsignedCause;
+  }
+  return std::nullopt;
+}
+
 awaitable<OnlineRun::Step> OnlineRun::HandleAnswer(EndpointAttempt& attempt,
                                                    const EndpointLease& lease, AnswerHead answer) {
   if (answer.decoded.load) {
@@ -392,13 +403,12 @@
   ++this->record.sent;
   this->record.maybe_run = !answer.decoded.not_executed || this->record.maybe_run;
   EndpointFeedback::RecordAnswer(lease.Endpoint(), net::Now());
-  const bool is_success = code / 100 == 2;
-  if (is_success && !answer.decoded.is_signed) {
+  if (const std::optional<std::string_view> cause = this->CauseToReject(answer)) {
     attempt.Abort();
-    co_return co_await this->AfterFailure(lease, "unsigned");
+    co_return co_await this->AfterFailure(lease, *cause);
   }
-  if (is_success && this->routed.route->kind == RouteKind::kStream &&
-      answer.decoded.is_event_stream) {
+  const bool is_success = code / 100 == 2;
+  if (is_success && this->routed.route->kind == RouteKind::kStream && answer.decoded.HasEvents()) {
     co_return co_await this->ForwardStream(attempt, lease, std::move(answer));
   }
   co_return co_await this->ForwardWholeAnswer(attempt, lease, std::move(answer));
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -41,6 +41,8 @@
   static constexpr std::string_view kSilentStreamCause = "stream_silent";
   static constexpr std::string_view kStreamCutCause = "stream_cut";
   static constexpr std::string_view kBodyCutCause = "body_cut";
+  static constexpr std::string_view kResumeRefusedCause = "resume_refused";
+  static constexpr std::string_view kUnsignedCause = "unsigned";
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
   /// Between checks whether a suspicion has ended.
@@ -48,6 +50,9 @@
 
   net::asio::awaitable<AdmissionOutcome> AcquireSlot();
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
+  /// Cause for which an answer fails the attempt whatever its body is.
+  /// @return no value if the answer may be passed on.
+  [[nodiscard]] std::optional<std::string_view> CauseToReject(const AnswerHead& answer) const;
   net::asio::awaitable<Step> HandleAnswer(EndpointAttempt& attempt, const EndpointLease& lease,
                                           AnswerHead answer);
   net::asio::awaitable<Step> ForwardWholeAnswer(EndpointAttempt& attempt,
--- a/src/gateway/types/endpoint_answer.h
+++ b/src/gateway/types/endpoint_answer.h
@@ -17,8 +17,14 @@
   bool is_signed = false;       ///< carries the endpoint's signature
   bool is_event_stream = true;  ///< the body is a series of events; false if another type is stated
   bool is_leaving = false;      ///< the endpoint finishes its open work and exits
+  bool is_encoded = false;      ///< the body has a content encoding
   std::optional<ReportedLoad> load;
   LimitNotice limit;
+
+  /// Whether a successful answer has events that belong to the request and can be read.
+  [[nodiscard]] bool HasEvents() const {
+    return this->is_signed && this->is_event_stream && !this->is_encoded;
+  }
 };
 
 }  // namespace lentilhead::gateway
