Read no item's events from an answer of another type or with an encoding

Items were completed with the text of an error as their last event and without the rest of their events: after an endpoint had broken off, a 200 with another content type or with a content encoding was read as events, and its end as the end of the item.

Cause: ItemRun read each signed 2xx answer as events.

Such an answer now fails the attempt and counts as a failure of the endpoint; the item goes on after its last event.

Evidence: an_error_of_the_next_endpoint_is_no_part_of_an_item failed before for json, unframed_text and encoded: items ended after event 2 of 6 with 'wrong' in their output.

--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -233,7 +233,13 @@
   if (answer.decoded.load) {
     this->gateway.registry.RecordLoad(endpoint, *answer.decoded.load, net::Now());
   }
-  if (answer.head.result_int() / 100 == 2 && answer.decoded.is_signed) {
+  const bool is_success = answer.head.result_int() / 100 == 2;
+  if (is_success && !answer.decoded.HasEvents()) {
+    attempt.Abort();
+    this->RecordFailure(false);
+    co_return ItemRunOutcome::kResume;
+  }
+  if (is_success) {
     EndpointFeedback::RecordAnswer(endpoint, net::Now());
     const ItemRunOutcome ended =
         co_await this->ReadEvents(AnswerStream(attempt, answer.framing), work);
