Pass on no body with an encoding that the caller did not ask for

An answer with an encoding is now a failed attempt with the cause `encoded`, unless the caller accepts encodings; then it is passed on as it is.

Evidence: an_encoded_answer_is_not_passed_on_to_a_caller_that_wants_none failed before with a 200 and the encoded bytes.

--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -386,6 +386,9 @@
   if (is_success && !answer.decoded.is_signed) {
     return kUnsignedCause;
   }
+  if (is_success && answer.decoded.is_encoded && !this->routed.request.accepts_encoding) {
+    return kEncodedCause;
+  }
   return std::nullopt;
 }
 
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -43,6 +43,7 @@
   static constexpr std::string_view kBodyCutCause = "body_cut";
   static constexpr std::string_view kResumeRefusedCause = "resume_refused";
   static constexpr std::string_view kUnsignedCause = "unsigned";
+  static constexpr std::string_view kEncodedCause = "encoded";
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
   /// Between checks whether a suspicion has ended.
--- a/src/gateway/types/inference_request.h
+++ b/src/gateway/types/inference_request.h
@@ -18,7 +18,8 @@
   std::optional<std::chrono::milliseconds> deadline;  ///< timeout that the caller asked for
   /// Id of the last event already received, after which the stream resumes.
   std::optional<std::int64_t> last_event_id;
-  std::string api_key;  ///< key that the caller sent; empty if none
+  bool accepts_encoding = false;  ///< the caller accepts a body with a content encoding
+  std::string api_key;            ///< key that the caller sent; empty if none
   PromptKeys keys;
   placement::StatedCost cost;  ///< as the caller states it
   net::Request message;        ///< method, target, headers and body
