Take a plain answer without framing and without a body for broken off

Cause: without a length or chunks the end of the connection ends the body, so that no byte of a body looked like a whole body. Streams were judged differently already.

An answer without framing that ends before the first byte of its body is now a failed attempt: sent again if it may be, else 502. A sound endpoint that means an empty body can say so by its length.

--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -47,7 +47,11 @@
   if (this->cancel.IsCancelled()) {
     co_return Step::kCancelled;
   }
-  if (body.state != BodyState::kEnd && body.state != BodyState::kMore) {
+  // Without framing, a connection that was lost before the body ends like a whole answer.
+  const bool may_lack_body = body.state == BodyState::kEnd && body.bytes.empty() &&
+                             answer.framing == AnswerFraming::kConnection;
+  const bool is_broken = body.state != BodyState::kEnd && body.state != BodyState::kMore;
+  if (is_broken || may_lack_body) {
     co_return co_await this->AfterFailure(lease, CauseOf(body.state, kBodyCutCause));
   }
   const int code = static_cast<int>(answer.head.result_int());
