Send no chunk without bytes, which would end an answer

No caller has seen it: both users of CallerSession::SendChunk check for bytes first. A chunk without bytes is the last chunk, so any further user that forgets the check would end a broken answer as complete. SendChunk now sends nothing.

Test: "a chunk without bytes does not end an answer"; not run on the code before.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -50,7 +50,7 @@
   /// Sends the head of an answer with a chunked body.
   net::asio::awaitable<bool> BeginChunks(net::http::response_header<> head, net::SteadyTime until);
 
-  /// Sends a chunk of the body. @param bytes not empty.
+  /// Sends a chunk of the body, or nothing if there are no bytes.
   net::asio::awaitable<bool> SendChunk(std::string bytes, net::SteadyTime until);
 
   /// Ends a chunked body, which marks the answer as complete.
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -274,6 +274,9 @@
 }
 
 awaitable<bool> CallerSession::SendChunk(std::string bytes, net::SteadyTime until) {
+  if (bytes.empty()) {
+    co_return true;  // a chunk without bytes is the last one
+  }
   this->stream.expires_at(until);
   const auto chunk = net::http::make_chunk(net::asio::buffer(bytes));
   this->BeginWrite(bytes.capacity());
--- a/src/gateway/tests/caller_session_test.cc
+++ b/src/gateway/tests/caller_session_test.cc
@@ -123,6 +123,23 @@
   }
 }
 
+TEST_CASE("a chunk without bytes does not end an answer") {
+  SessionFixture fixture;
+  asio::co_spawn(
+      fixture.loop,
+      [&]() -> asio::awaitable<void> {
+        const net::SteadyTime until = net::Now() + milliseconds(1000);
+        CHECK(co_await fixture.session->BeginChunks({}, until));
+        CHECK(co_await fixture.session->SendChunk("", until));
+        CHECK(co_await fixture.session->SendChunk("more", until));
+      },
+      asio::detached);
+  fixture.loop.run_for(milliseconds(20));
+  std::string received(fixture.caller.available(), '\0');
+  asio::read(fixture.caller, asio::buffer(received));
+  CHECK(received.ends_with("\r\n\r\n4\r\nmore\r\n"));
+}
+
 TEST_CASE("a caller's disconnect is detected while its request is in flight") {
   SessionFixture fixture;
   CancelScope cancel;
