Take the end of a dead peer's connection for no end of an answer

Cause: the kernel closes the connections of a peer that is killed in good order, and that is how an answer without framing ends, too. A relay resets connections that it loses, but cannot do so when it dies itself.

After an answer without framing that came through a peer, the node connects to the peer once more. A peer whose process has ended refuses, and the answer counts as broken: streams and repeatable requests are sent to another endpoint. Other answers need no such connection.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -80,6 +80,10 @@
   /// Records that a connection through a peer was lost or silent.
   void RecordBroken(const Address& peer);
 
+  /// Whether a peer that carries a connection is alive, so that its end is the endpoint's.
+  /// @param until time limit.
+  net::asio::awaitable<bool> IsAlive(const Address& peer, net::SteadyTime until) const;
+
   /// Records bytes of an answer.
   void RecordAnswer() { this->evidence.RecordAnswer(net::Now()); }
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -335,6 +335,14 @@
   return progress;
 }
 
+awaitable<BodyState> EndpointAttempt::StateAtEnd(net::SteadyTime until) {
+  if (!this->through || this->Framing() != AnswerFraming::kConnection) {
+    co_return BodyState::kEnd;
+  }
+  const bool is_alive = co_await this->gateway.paths.IsAlive(*this->through, until);
+  co_return is_alive ? BodyState::kEnd : BodyState::kBroken;
+}
+
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
   BodyPiece piece;
   if (!this->connection) {
@@ -358,8 +366,8 @@
     }
   }
   if (this->parser->is_done()) {
-    piece.state = BodyState::kEnd;
     this->Finish();
+    piece.state = co_await this->StateAtEnd(until);
   }
   co_return piece;
 }
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -127,6 +127,9 @@
   void RecordIfLeaving(const EndpointAnswer& answer);
   void RecordLimit(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
+  /// State of a body that was received up to its end. The end of a connection through a peer that
+  /// has died is not that of the answer.
+  net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
   /// Adapts the size of the next read to the answer and to the memory budget.
   void SizeBuffer();
   /// Counts the bytes held in the memory budget. @param collected bytes handed on together later.
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -96,6 +96,10 @@
   }
 }
 
+awaitable<bool> EndpointPaths::IsAlive(const Address& peer, net::SteadyTime until) const {
+  co_return this->client&& co_await this->client->IsAlive(this->executor, peer, until);
+}
+
 void EndpointPaths::Count(std::string_view outcome) {
   this->metrics.GetCounter("gateway_relay_connections_total", {{"outcome", std::string(outcome)}})
       .Add();
--- a/src/relay/internal/tunnel_client.cc
+++ b/src/relay/internal/tunnel_client.cc
@@ -67,4 +67,14 @@
   co_return OutcomeOf(parser.get().base());
 }
 
+awaitable<bool> TunnelClient::IsAlive(net::asio::any_io_executor executor,
+                                      net::asio::ip::address peer, net::SteadyTime until) const {
+  net::beast::tcp_stream stream(std::move(executor));
+  net::BindSource(stream.socket(), this->own);
+  stream.expires_at(std::min(until, net::Now() + kConnectLimit));
+  const auto [error] =
+      co_await stream.async_connect(net::tcp::endpoint(peer, this->port), net::kAwaitWithError);
+  co_return !error;
+}
+
 }  // namespace lentilhead::relay
--- a/src/relay/tunnel_client.h
+++ b/src/relay/tunnel_client.h
@@ -21,6 +21,12 @@
                                            net::asio::ip::address peer, net::tcp::endpoint target,
                                            net::SteadyTime until) const;
 
+  /// Whether a peer accepts a connection, which it does not once its process has ended.
+  /// @param executor runs the connection.
+  /// @param until time limit.
+  net::asio::awaitable<bool> IsAlive(net::asio::any_io_executor executor,
+                                     net::asio::ip::address peer, net::SteadyTime until) const;
+
  private:
   net::asio::ip::address own;
   std::uint16_t port;
