Judge the events of all streamed answers by one sequence

Cause: the online run left out ids that it had seen and forwarded everything else, and items had a check of their own, for gaps only. Bytes that form no event were passed on or skipped.

StreamSequence decides for both: the ids of an answer follow one another, the first one is at most the next of the stream, and each block of lines is an event. Where that ends, the answer is broken: nothing of it is taken from there, the log states it (stream_not_continued), gateway_streams_not_continued_total counts it, and the stream is resumed at another endpoint or cut. Events that a resumed answer repeats at its beginning are still left out.

--- a/src/apps/node/metric_help.cc
+++ b/src/apps/node/metric_help.cc
@@ -30,6 +30,8 @@
     {"gateway_quota_messages_total", "Messages about quotas, by kind."},
     {"gateway_not_executed_total", "Attempts that an endpoint turned down, by status."},
     {"gateway_placed_by_work_total", "Attempts at services placed by work left, by reason."},
+    {"gateway_streams_not_continued_total",
+     "Streamed answers ended where something else than the next event followed, by cause."},
     {"gateway_stray_bytes_total",
      "Times that an endpoint sent bytes that belong to no answer expected, by place."},
     {"job_results_total", "Results of batch items that became durable."},
--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -1,7 +1,5 @@
 #include "gateway/internal/answer_stream.h"
 
-#include <algorithm>
-
 namespace lentilhead::gateway::internal {
 
 StreamState AnswerStream::StateAfter(BodyState body) const {
@@ -20,16 +18,35 @@
   if (this->UnfinishedBytes() > 0) {
     return StreamState::kBroken;
   }
-  const bool may_be_broken = this->framing == AnswerFraming::kConnection && !this->has_events;
+  const bool may_be_broken =
+      this->framing == AnswerFraming::kConnection && !this->sequence.HasGrown();
   return may_be_broken ? StreamState::kEmpty : StreamState::kComplete;
 }
 
+StreamPart AnswerStream::Take(std::vector<StreamEvent> received) {
+  StreamPart part;
+  for (StreamEvent& event : received) {
+    const EventVerdict verdict = this->sequence.Take(event);
+    if (verdict != EventVerdict::kNext && verdict != EventVerdict::kRepeated) {
+      part.state =
+          verdict == EventVerdict::kNoEvent ? StreamState::kForeign : StreamState::kMisplaced;
+      this->attempt.AbortAtEvent(verdict, this->sequence.LastOfAnswer(), event.id);
+      return part;
+    }
+    part.has_advanced = part.has_advanced || event.has_content;
+    if (verdict == EventVerdict::kNext) {
+      part.events.push_back(std::move(event));
+    }
+  }
+  return part;
+}
+
 net::asio::awaitable<StreamPart> AnswerStream::Read(net::SteadyTime until) {
   const BodyPiece piece = co_await this->attempt.ReadPiece(until);
-  StreamPart part{this->splitter.Add(piece.bytes)};
-  this->has_events = this->has_events || !part.events.empty();
-  part.has_advanced =
-      std::ranges::any_of(part.events, [](const StreamEvent& event) { return event.has_content; });
+  StreamPart part = this->Take(this->splitter.Add(piece.bytes));
+  if (part.state != StreamState::kMore) {
+    co_return part;
+  }
   this->since_advance =
       part.has_advanced ? this->UnfinishedBytes() : this->since_advance + piece.received;
   part.state = this->StateAfter(piece.state);
--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -4,6 +4,7 @@
 
 #include "gateway/internal/endpoint_attempt.h"
 #include "gateway/internal/event_splitter.h"
+#include "gateway/internal/stream_sequence.h"
 
 namespace lentilhead::gateway::internal {
 
@@ -13,25 +14,31 @@
   kComplete,   ///< the last event was received
   kEmpty,      ///< the connection ended before any event: broken, or nothing was left to send
   kBroken,     ///< broken off between events or inside one
+  kForeign,    ///< bytes follow that are no event
+  kMisplaced,  ///< an event follows that does not continue the stream
   kTimedOut,   ///< the time limit passed first
   kOverLimit,  ///< the answer exceeds one of AnswerLimits
 };
 
 /// Events of a streamed answer from one read.
 struct StreamPart {
-  std::vector<StreamEvent> events;
+  std::vector<StreamEvent> events;  ///< that continue the stream; repeated ones are left out
   /// Whether an event has an id or data; others, such as comments, do not advance the stream.
   bool has_advanced = false;
   StreamState state = StreamState::kMore;
 };
 
-/// Reads the events of a streamed answer and decides whether the stream is complete.
+/// Reads the events of a streamed answer and decides whether they continue the stream and whether
+/// the stream is complete.
 class AnswerStream {
  public:
   /// @param attempt its answer is read; must outlive this object.
   /// @param framing framing of that answer.
-  AnswerStream(EndpointAttempt& attempt, AnswerFraming framing)
-      : attempt(attempt), framing(framing) {}
+  /// @param sequence stream that the answer continues; must outlive this object.
+  AnswerStream(EndpointAttempt& attempt, AnswerFraming framing, StreamSequence& sequence)
+      : attempt(attempt), framing(framing), sequence(sequence) {
+    sequence.BeginAnswer();
+  }
 
   /// Reads the next events.
   /// @param until time limit of the read.
@@ -51,12 +58,15 @@
   }
 
  private:
+  /// Takes events into the stream, up to the first one that does not continue it.
+  /// @return the events taken that are not repeated.
+  StreamPart Take(std::vector<StreamEvent> received);
   [[nodiscard]] StreamState StateAfter(BodyState body) const;
 
   EndpointAttempt& attempt;
   AnswerFraming framing;
+  StreamSequence& sequence;
   EventSplitter splitter;
-  bool has_events = false;
   std::size_t since_advance = 0;  ///< bytes received since the stream advanced
 };
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -173,6 +173,21 @@
   this->Abort();
 }
 
+void EndpointAttempt::AbortAtEvent(EventVerdict verdict, std::optional<std::int64_t> last,
+                                   std::optional<std::int64_t> found) {
+  net::LogLine("stream_not_continued")
+      .With("request", this->request_id)
+      .With("endpoint", this->endpoint->entry.id)
+      .With("cause", NameOf(verdict))
+      .With("last_of_answer", last.value_or(-1))
+      .With("found", found.value_or(-1))
+      .With("received", this->received);
+  this->gateway.metrics
+      .GetCounter("gateway_streams_not_continued_total", {{"cause", std::string(NameOf(verdict))}})
+      .Add();
+  this->Abort();
+}
+
 awaitable<std::optional<AttemptFailure>> EndpointAttempt::DiscardAnswer(net::SteadyTime until) {
   while (!this->parser->is_done()) {
     const net::ErrorCode error = co_await this->ReadSome(until);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -7,6 +7,7 @@
 
 #include "gateway/cancel_scope.h"
 #include "gateway/internal/endpoint_connection.h"
+#include "gateway/internal/event_verdict.h"
 #include "gateway/types/answer_bound.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
@@ -98,6 +99,13 @@
   /// @param amount what was received, in the unit of LimitOf(bound).
   void AbortOverLimit(AnswerBound bound, std::size_t amount);
 
+  /// Closes the connection of a streamed answer that does not continue its stream; logs and counts
+  /// it.
+  /// @param last id of the last event of the answer before it.
+  /// @param found id of the event that does not continue the stream.
+  void AbortAtEvent(EventVerdict verdict, std::optional<std::int64_t> last,
+                    std::optional<std::int64_t> found);
+
   /// Ends the read in progress, which then fails.
   void Interrupt();
 
--- a/src/gateway/internal/event_splitter.cc
+++ b/src/gateway/internal/event_splitter.cc
@@ -1,8 +1,12 @@
 #include "gateway/internal/event_splitter.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <string_view>
 
+#include "platform/header_names.h"
+
 namespace lentilhead::gateway::internal {
 
 namespace {
@@ -30,21 +34,75 @@
   return line;
 }
 
-/// Returns the event with its last numeric id, if it has one.
+/// What a line of an event is.
+enum class LineKind {
+  kKnown,         ///< a field that events have, or a comment
+  kUnknownField,  ///< may stand beside known fields
+  kNoField,       ///< such as a line of an HTTP head, or text
+};
+
+constexpr std::array<std::string_view, 6> kKnownFields = {
+    "", "id", "data", "event", "retry", platform::kWeightVersionsField};
+
+LineKind KindOf(std::string_view line) {
+  const std::size_t colon = line.find(':');
+  const std::string_view name = line.substr(0, colon);
+  if (std::ranges::find(kKnownFields, name) != kKnownFields.end()) {
+    return LineKind::kKnown;
+  }
+  const bool is_name = std::ranges::all_of(name, [](char c) {
+    return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-' || c == '_';
+  });
+  return is_name && colon != std::string_view::npos ? LineKind::kUnknownField : LineKind::kNoField;
+}
+
+std::optional<std::int64_t> ParseId(std::string_view text) {
+  std::int64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool is_number = error == std::errc() && end == text.data() + text.size();
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
+/// Kinds of the lines of an event.
+struct LineCount {
+  int ids = 0;
+  int known = 0;
+  int unknown_fields = 0;
+  int no_fields = 0;
+
+  void Add(std::string_view line) {
+    const LineKind kind = KindOf(line);
+    this->ids += ValueOf(line, "id") ? 1 : 0;
+    this->known += kind == LineKind::kKnown ? 1 : 0;
+    this->unknown_fields += kind == LineKind::kUnknownField ? 1 : 0;
+    this->no_fields += kind == LineKind::kNoField ? 1 : 0;
+  }
+
+  /// An event with two ids is the beginning of one and the end of another.
+  [[nodiscard]] bool IsEvent() const {
+    return this->no_fields == 0 && this->ids <= 1 && (this->known > 0 || this->unknown_fields == 0);
+  }
+};
+
+/// Returns the event with its id, if that is a number.
 StreamEvent MakeEvent(std::string bytes) {
   StreamEvent event;
   event.bytes = std::move(bytes);
   std::string_view text = event.bytes;
+  LineCount lines;
   while (!text.empty()) {
     const std::string_view line = TakeLine(text);
+    if (line.empty()) {
+      continue;
+    }
+    lines.Add(line);
     const auto value = ValueOf(line, "id");
     event.has_content = event.has_content || value || ValueOf(line, "data");
-    std::int64_t number = 0;
-    if (value &&
-        std::from_chars(value->data(), value->data() + value->size(), number).ec == std::errc()) {
-      event.id = number;
+    if (value) {
+      event.id = ParseId(*value);
     }
   }
+  event.is_well_formed = lines.IsEvent();
   return event;
 }
 
--- a/src/gateway/internal/event_splitter.h
+++ b/src/gateway/internal/event_splitter.h
@@ -11,7 +11,9 @@
 struct StreamEvent {
   std::string bytes;
   std::optional<std::int64_t> id;
-  bool has_content = false;  ///< has an id or data; otherwise it is blank, a comment or unknown
+  bool has_content = false;  ///< has an id or data; otherwise it is blank or a comment
+  /// Whether its lines can be those of an event or a comment, rather than of something else.
+  bool is_well_formed = true;
 };
 
 /// Splits the bytes of an event stream into complete events. The work is linear in the bytes added.
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "gateway/internal/answer_stream.h"
 #include "gateway/internal/answers.h"
 #include "gateway/internal/online_run.h"
 #include "platform/request_codec.h"
@@ -147,14 +146,7 @@
 awaitable<bool> OnlineRun::ForwardEvents(std::vector<StreamEvent> events,
                                          const AnswerHead& answer) {
   std::string bytes;
-  for (StreamEvent& event : events) {
-    const bool repeated = event.id && this->last_event && *event.id <= *this->last_event;
-    if (repeated) {
-      continue;
-    }
-    if (event.id) {
-      this->last_event = event.id;
-    }
+  for (const StreamEvent& event : events) {
     bytes += event.bytes;
   }
   if (bytes.empty()) {
@@ -178,12 +170,26 @@
   co_return Step::kDone;
 }
 
+std::string_view OnlineRun::StreamCauseOf(StreamState state, bool was_silent) {
+  switch (state) {
+    case StreamState::kOverLimit:
+      return NameOf(AttemptFailure::kOverLimit);
+    case StreamState::kForeign:
+      return kForeignBytesCause;
+    case StreamState::kMisplaced:
+      return kMisplacedEventCause;
+    case StreamState::kTimedOut:
+      return kSilentStreamCause;
+    default:
+      return was_silent ? kSilentStreamCause : kStreamCutCause;
+  }
+}
+
 awaitable<OnlineRun::Step> OnlineRun::ForwardStream(EndpointAttempt& attempt,
                                                     const EndpointLease& lease, AnswerHead answer) {
-  AnswerStream stream(attempt, answer.framing);
+  AnswerStream stream(attempt, answer.framing, this->sequence);
   net::SteadyTime last_arrival;
   this->framing = answer.framing;
-  this->first_event_id.reset();
   bool has_advanced = true;
   while (true) {
     const net::SteadyTime now = net::Now();
@@ -206,9 +212,6 @@
       co_return Step::kCancelled;
     }
     if (!part.events.empty()) {
-      if (!this->first_event_id) {
-        this->first_event_id = part.events.front().id;
-      }
       this->silence_recorded = false;
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
         this->RecordAnswer(true);
@@ -233,12 +236,7 @@
       co_return co_await this->EndStream(answer);
     }
     if (was_silent || part.state != StreamState::kMore) {
-      const bool silent = was_silent || part.state == StreamState::kTimedOut;
-      const bool over_limit = part.state == StreamState::kOverLimit;
-      const std::string_view cause = over_limit ? NameOf(AttemptFailure::kOverLimit)
-                                     : silent   ? kSilentStreamCause
-                                                : kStreamCutCause;
-      co_return co_await this->AfterFailure(lease, cause);
+      co_return co_await this->AfterFailure(lease, StreamCauseOf(part.state, was_silent));
     }
   }
 }
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -113,7 +113,7 @@
       .With("endpoint", this->last_endpoint)
       .With("cause", cause)
       .With("sent", this->record.sent)
-      .With("last_event", this->last_event.value_or(-1))
+      .With("last_event", this->sequence.LastEvent().value_or(-1))
       .With("framing", this->framing ? NameOf(*this->framing) : std::string_view("none"))
       .With("unfinished_bytes", this->unfinished_bytes)
       .With("suspect_failures", lease.Endpoint().failures_in_row)
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -47,9 +47,8 @@
       cancel(cancel),
       routed(std::move(routed)),
       work(gateway, this->routed.service, CostQueryOf(this->routed)),
-      silence(gateway.executor, [this] { return this->LeaveSilentEndpoint(); }) {
-  this->last_event = this->routed.request.last_event_id;
-}
+      silence(gateway.executor, [this] { return this->LeaveSilentEndpoint(); }),
+      sequence(this->routed.request.last_event_id) {}
 
 bool OnlineRun::MayRetry() const {
   return this->may_send_again &&
@@ -87,9 +86,9 @@
       .With("left_ms", net::ToMilliseconds(this->routed.deadline - now).count());
   if (this->framing) {
     line.With("framing", NameOf(*this->framing))
-        .With("last_event", this->last_event.value_or(-1))
+        .With("last_event", this->sequence.LastEvent().value_or(-1))
         .With("unfinished_bytes", this->unfinished_bytes)
-        .With("first_event", this->first_event_id.value_or(-1));
+        .With("first_event", this->sequence.FirstOfAnswer().value_or(-1));
   }
   if (this->first_event != net::SteadyTime{}) {
     line.With("first_event_ms",
@@ -336,7 +335,7 @@
   this->tried.push_back(this->last_endpoint);
   const bool may_retry = this->routed.IsRepeatable() && this->record.sent + 1 < route.max_attempts;
   AttemptOptions options{this->last_endpoint, net::ToMilliseconds(this->routed.deadline - now),
-                         this->last_event, !this->routed.config->customers.IsEmpty(),
+                         this->sequence.LastEvent(), !this->routed.config->customers.IsEmpty(),
                          this->routed.customer == nullptr ? "" : this->routed.customer->name};
   net::Request message = platform::EncodeAttempt(this->routed.request, options);
   EndpointFeedback::RecordAttempt(lease.Endpoint(), now);
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -7,9 +7,11 @@
 #include "gateway/attempt_policy.h"
 #include "gateway/caller_session.h"
 #include "gateway/gateway.h"
+#include "gateway/internal/answer_stream.h"
 #include "gateway/internal/endpoint_attempt.h"
 #include "gateway/internal/event_splitter.h"
 #include "gateway/internal/silence_watch.h"
+#include "gateway/internal/stream_sequence.h"
 #include "gateway/internal/work_meter.h"
 #include "gateway/types/attempt_stage.h"
 #include "gateway/types/endpoint_fate.h"
@@ -44,6 +46,8 @@
   static constexpr std::string_view kResumeRefusedCause = "resume_refused";
   static constexpr std::string_view kUnsignedCause = "unsigned";
   static constexpr std::string_view kEncodedCause = "encoded";
+  static constexpr std::string_view kForeignBytesCause = "foreign_bytes";
+  static constexpr std::string_view kMisplacedEventCause = "misplaced_event";
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
   /// Between checks whether a suspicion has ended.
@@ -67,6 +71,8 @@
                                            const AnswerHead& answer);
   net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
   net::asio::awaitable<Step> EndStream(const AnswerHead& answer);
+  /// Cause of a failed attempt whose stream is in `state`.
+  [[nodiscard]] static std::string_view StreamCauseOf(StreamState state, bool was_silent);
   /// Whether the connection to an endpoint was lost before the whole answer was received.
   [[nodiscard]] static bool IsConnectionLoss(std::string_view cause);
   /// Finds out whether the endpoint ended before it sent the first event or a whole answer, and
@@ -138,8 +144,7 @@
   std::optional<PartKey> held_part;          ///< because of which the request is refused
   std::optional<AnswerFraming> framing;      ///< of the last streamed answer
   std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
-  std::optional<std::int64_t> last_event;
-  std::optional<std::int64_t> first_event_id;  ///< of the last streamed answer
+  StreamSequence sequence;
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
--- a/src/gateway/tests/event_splitter_test.cc
+++ b/src/gateway/tests/event_splitter_test.cc
@@ -35,6 +35,44 @@
   }
 }
 
+bool IsWellFormed(const std::string& bytes) {
+  EventSplitter splitter;
+  const std::vector<StreamEvent> events = splitter.Add(bytes);
+  REQUIRE(events.size() == 1);
+  return events[0].is_well_formed;
+}
+
+TEST_CASE("events, comments and blank lines are well formed") {
+  for (const char* bytes :
+       {"\n", "\r\n", ": comment\n\n", ":\n\n", "retry: 5\n\n", "event: end\n\n", "data\n\n",
+        "id: 7\r\ndata: HTTP/1.1 200 OK\r\n\r\n", "x-weight-versions: 4\nid: 1\ndata: a\n\n",
+        "x-weight-versions: 4\n\n", "other-field: 1\nid: 1\ndata: a\n\n", "data: {\n\n"}) {
+    CAPTURE(bytes);
+    CHECK(IsWellFormed(bytes));
+  }
+}
+
+TEST_CASE("a head, a text or a join of two events is not well formed") {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n", "HTTP/1.1 503 X\r\n\r\n",
+        "upstream failed\n\n", "Internal Server Error\n\n", "{\"error\":\"x\"}\n\n",
+        "error: upstream failed\n\n", "id: 3\ndaHTTP/1.1 200 OK\r\n\r\n",
+        "id: 3HTTP/1.1 200 OK\r\nServer: x\r\n\r\n", "text\nid: 4\ndata: a\n\n",
+        "id: 3\ndata: aid: 1\nid: 2\n\n", "6\r\n\r\n"}) {
+    CAPTURE(bytes);
+    CHECK_FALSE(IsWellFormed(bytes));
+  }
+}
+
+TEST_CASE("an id is a whole number") {
+  EventSplitter splitter;
+  const std::vector<StreamEvent> events = splitter.Add("id: 3x\n\nid: -1\n\nid:\n\n");
+  REQUIRE(events.size() == 3);
+  CHECK_FALSE(events[0].id);
+  CHECK(events[1].id == -1);
+  CHECK_FALSE(events[2].id);
+}
+
 std::uint64_t ExaminedBytes(const std::string& piece, std::size_t count, std::size_t* events) {
   EventSplitter splitter;
   for (std::size_t number = 0; number < count; ++number) {
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -20,6 +20,7 @@
 using gateway::internal::EndpointAttempt;
 using gateway::internal::StreamEvent;
 using gateway::internal::StreamPart;
+using gateway::internal::StreamSequence;
 using gateway::internal::StreamState;
 using gateway::internal::WorkMeter;
 using net::asio::awaitable;
@@ -28,20 +29,12 @@
 // The attempt ends when the endpoint completes no further event for this long.
 constexpr milliseconds kItemEventTimeout{4000};
 
-/// Appends the data of events and skips those received before. @return false when one is missing.
-bool AppendEvents(ItemProgress& progress, std::vector<StreamEvent> events) {
-  for (StreamEvent& event : events) {
+/// Appends the data of events that continue the output.
+void AppendEvents(ItemProgress& progress, const std::vector<StreamEvent>& events) {
+  for (const StreamEvent& event : events) {
     if (!event.has_content) {
       continue;
     }
-    if (event.id && progress.last_event) {
-      if (*event.id <= *progress.last_event) {
-        continue;
-      }
-      if (*event.id != *progress.last_event + 1) {
-        return false;
-      }
-    }
     const bool first = !progress.last_event && progress.output.empty();
     if (!first) {
       progress.output.push_back('\n');
@@ -51,7 +44,6 @@
       progress.last_event = event.id;
     }
   }
-  return true;
 }
 
 }  // namespace
@@ -116,6 +108,13 @@
   return query;
 }
 
+awaitable<ItemRunOutcome> ItemRun::ReadStream(EndpointAttempt& attempt,
+                                              gateway::AnswerFraming framing, WorkMeter& work) {
+  const ItemProgress& progress = this->items.Progress(this->item);
+  StreamSequence sequence(progress.last_event, progress.last_event.has_value());
+  co_return co_await this->ReadEvents(AnswerStream(attempt, framing, sequence), work);
+}
+
 awaitable<ItemRunOutcome> ItemRun::ReadEvents(AnswerStream stream, WorkMeter& work) {
   net::SteadyTime last_arrival;
   net::SteadyTime waiting_since = net::Now();
@@ -140,8 +139,8 @@
     }
     const std::size_t bytes_before = progress.output.size();
     const std::optional<std::int64_t> event_before = progress.last_event;
-    const bool follows = AppendEvents(progress, std::move(part.events));
-    if (!follows || this->cancel.IsCancelled()) {
+    AppendEvents(progress, part.events);
+    if (this->cancel.IsCancelled()) {
       co_return ItemRunOutcome::kResume;
     }
     const std::size_t output_bytes = progress.output.size();
@@ -241,8 +240,7 @@
   }
   if (is_success) {
     EndpointFeedback::RecordAnswer(endpoint, net::Now());
-    const ItemRunOutcome ended =
-        co_await this->ReadEvents(AnswerStream(attempt, answer.framing), work);
+    const ItemRunOutcome ended = co_await this->ReadStream(attempt, answer.framing, work);
     work.RecordEnd(request.id, ended == ItemRunOutcome::kComplete, net::Now());
     co_return ended;
   }
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -49,6 +49,9 @@
 
  private:
   net::asio::awaitable<ItemRunOutcome> Attempt(const Claim& claim);
+  net::asio::awaitable<ItemRunOutcome> ReadStream(gateway::internal::EndpointAttempt& attempt,
+                                                  gateway::AnswerFraming framing,
+                                                  gateway::internal::WorkMeter& work);
   net::asio::awaitable<ItemRunOutcome> ReadEvents(gateway::internal::AnswerStream stream,
                                                   gateway::internal::WorkMeter& work);
   net::asio::awaitable<ItemRunOutcome> ReadFailure(gateway::internal::EndpointAttempt& attempt,
