Let two endpoints confirm the end of a stream that was resumed in vain

Cause: only an answer without framing was doubted.

An answer that resumes a stream and adds no event is now a claim only. The stream ends when another endpoint claims the same; before that it is resumed while attempts are left, and is cut after that (cause end_unconfirmed, which says nothing against the endpoint). An item whose end only one endpoint claims twice begins anew. An answer with no event to the first attempt still counts.

--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -18,9 +18,12 @@
   if (this->UnfinishedBytes() > 0) {
     return StreamState::kBroken;
   }
-  const bool may_be_broken =
-      this->framing == AnswerFraming::kConnection && !this->sequence.HasGrown();
-  return may_be_broken ? StreamState::kEmpty : StreamState::kComplete;
+  const bool is_framed = this->framing != AnswerFraming::kConnection;
+  if (!this->sequence.HasGrown()) {
+    const StreamState unresumed = is_framed ? StreamState::kComplete : StreamState::kEmpty;
+    return this->sequence.IsResumed() ? StreamState::kUnproven : unresumed;
+  }
+  return StreamState::kComplete;
 }
 
 StreamPart AnswerStream::Take(std::vector<StreamEvent> received) {
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -185,6 +185,14 @@
   }
 }
 
+awaitable<OnlineRun::Step> OnlineRun::AfterEndClaim(const EndpointLease& lease,
+                                                    const AnswerHead& answer) {
+  if (this->end_claims.Add(this->last_endpoint) == EndClaims::Result::kConfirmed) {
+    co_return co_await this->EndStream(answer);
+  }
+  co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
+}
+
 awaitable<OnlineRun::Step> OnlineRun::ForwardStream(EndpointAttempt& attempt,
                                                     const EndpointLease& lease, AnswerHead answer) {
   AnswerStream stream(attempt, answer.framing, this->sequence);
@@ -213,6 +221,7 @@
     }
     if (!part.events.empty()) {
       this->silence_recorded = false;
+      this->end_claims.Clear();
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
         this->RecordAnswer(true);
       }
@@ -235,6 +244,9 @@
     if (part.state == StreamState::kComplete) {
       co_return co_await this->EndStream(answer);
     }
+    if (part.state == StreamState::kUnproven && !was_silent) {
+      co_return co_await this->AfterEndClaim(lease, answer);
+    }
     if (was_silent || part.state != StreamState::kMore) {
       co_return co_await this->AfterFailure(lease, StreamCauseOf(part.state, was_silent));
     }
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -101,7 +101,8 @@
   if (this->attempt->Through() && is_excused) {
     this->gateway.paths.RecordBroken(*this->attempt->Through());
   }
-  if (!this->silence_recorded && !is_excused) {
+  const bool tells_nothing = cause == kEndUnconfirmedCause;
+  if (!this->silence_recorded && !is_excused && !tells_nothing) {
     EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), unreachable);
   }
   const EndpointFate fate = co_await this->RecordLoss(lease, cause);
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -14,6 +14,7 @@
 #include "gateway/internal/stream_sequence.h"
 #include "gateway/internal/work_meter.h"
 #include "gateway/types/attempt_stage.h"
+#include "gateway/types/end_claims.h"
 #include "gateway/types/endpoint_fate.h"
 #include "gateway/types/routed_request.h"
 
@@ -48,6 +49,7 @@
   static constexpr std::string_view kEncodedCause = "encoded";
   static constexpr std::string_view kForeignBytesCause = "foreign_bytes";
   static constexpr std::string_view kMisplacedEventCause = "misplaced_event";
+  static constexpr std::string_view kEndUnconfirmedCause = "end_unconfirmed";
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
   /// Between checks whether a suspicion has ended.
@@ -71,6 +73,8 @@
                                            const AnswerHead& answer);
   net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
   net::asio::awaitable<Step> EndStream(const AnswerHead& answer);
+  /// Ends the stream if two endpoints claim that it has ended; else resumes it.
+  net::asio::awaitable<Step> AfterEndClaim(const EndpointLease& lease, const AnswerHead& answer);
   /// Cause of a failed attempt whose stream is in `state`.
   [[nodiscard]] static std::string_view StreamCauseOf(StreamState state, bool was_silent);
   /// Whether the connection to an endpoint was lost before the whole answer was received.
@@ -145,6 +149,7 @@
   std::optional<AnswerFraming> framing;      ///< of the last streamed answer
   std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
   StreamSequence sequence;
+  EndClaims end_claims;
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
--- /dev/null
+++ b/src/gateway/tests/end_claims_test.cc
@@ -0,0 +1,23 @@
+#include "gateway/types/end_claims.h"
+
+#include <doctest/doctest.h>
+
+namespace lentilhead::gateway {
+namespace {
+
+TEST_CASE("the end of a stream is confirmed by a second endpoint only") {
+  EndClaims claims;
+  CHECK(claims.Add("i-1") == EndClaims::Result::kFirst);
+  CHECK(claims.Add("i-1") == EndClaims::Result::kSame);
+  CHECK(claims.Add("i-2") == EndClaims::Result::kConfirmed);
+}
+
+TEST_CASE("claims of the end do not outlast a further event") {
+  EndClaims claims;
+  CHECK(claims.Add("i-1") == EndClaims::Result::kFirst);
+  claims.Clear();
+  CHECK(claims.Add("i-2") == EndClaims::Result::kFirst);
+}
+
+}  // namespace
+}  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -43,6 +43,7 @@
     if (event.id) {
       progress.last_event = event.id;
     }
+    progress.end_claims.Clear();
   }
 }
 
@@ -54,8 +55,10 @@
       return "whole";
     case ItemRunOutcome::kResume:
       return "goes_on";
-    case ItemRunOutcome::kEmptyAnswer:
-      return "empty_answer";
+    case ItemRunOutcome::kEndUnproven:
+      return "end_unconfirmed";
+    case ItemRunOutcome::kBeginAnew:
+      return "begins_anew";
     case ItemRunOutcome::kRunFailed:
       return "failed_run";
     case ItemRunOutcome::kPermanentFailure:
@@ -162,8 +165,8 @@
         this->RecordFailure(part.state == StreamState::kTimedOut);
       }
       this->is_connection_lost = part.state == StreamState::kBroken;
-      co_return part.state == StreamState::kEmpty ? ItemRunOutcome::kEmptyAnswer
-                                                  : ItemRunOutcome::kResume;
+      co_return part.state == StreamState::kUnproven ? ItemRunOutcome::kEndUnproven
+                                                     : ItemRunOutcome::kResume;
     }
   }
 }
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -16,7 +16,8 @@
 enum class ItemRunOutcome {
   kComplete,          ///< the output is whole
   kResume,            ///< the next attempt resumes after the last event received
-  kEmptyAnswer,       ///< as kResume; a successful answer ended before any event
+  kEndUnproven,       ///< as kResume; a successful answer ended, which does not prove the end
+  kBeginAnew,         ///< the output received cannot be resumed; the next attempt begins anew
   kRunFailed,         ///< the endpoint reports that the run failed
   kPermanentFailure,  ///< the endpoint reports that the item can never be completed
   kOverLimit,         ///< the output is too large; the next attempt begins anew
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -24,8 +24,24 @@
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
-// An item whose last event was received, but not the end of its answer, is resumed in vain.
-constexpr int kEmptyAnswersAtEnd = 2;
+
+/// Outcome of an attempt whose answer ended without a proof that the output is whole: two endpoints
+/// confirm the end. If only one can be asked, a run from the beginning tells.
+ItemRunOutcome AfterEndClaim(ItemProgress& progress, const std::string& endpoint) {
+  switch (progress.end_claims.Add(endpoint)) {
+    case gateway::EndClaims::Result::kFirst:
+      return ItemRunOutcome::kEndUnproven;
+    case gateway::EndClaims::Result::kSame:
+      return ItemRunOutcome::kBeginAnew;
+    case gateway::EndClaims::Result::kConfirmed:
+      break;
+  }
+  return ItemRunOutcome::kComplete;
+}
+
+bool BeginsAnew(ItemRunOutcome outcome) {
+  return outcome == ItemRunOutcome::kOverLimit || outcome == ItemRunOutcome::kBeginAnew;
+}
 
 }  // namespace
 
@@ -181,11 +197,10 @@
     co_return;
   }
   progress.phase = ItemPhase::kWaiting;
-  progress.empty_answers = outcome == ItemRunOutcome::kEmptyAnswer ? progress.empty_answers + 1 : 0;
-  if (progress.last_event && progress.empty_answers >= kEmptyAnswersAtEnd) {
-    outcome = ItemRunOutcome::kComplete;
+  if (outcome == ItemRunOutcome::kEndUnproven && progress.last_event) {
+    outcome = AfterEndClaim(progress, endpoint);
   }
-  if (outcome != ItemRunOutcome::kOverLimit) {
+  if (!BeginsAnew(outcome)) {
     this->RecordPace(*job, *attempt, outcome == ItemRunOutcome::kComplete);
   }
   if (outcome == ItemRunOutcome::kComplete) {
@@ -196,6 +211,7 @@
     ++progress.failures;
     progress.output.clear();
     progress.last_event.reset();
+    progress.end_claims.Clear();
     progress.not_before = net::Now() + kRetryDelay;
     if (progress.failures >= job->claim.max_attempts) {
       job->items.End(item, ItemOutcome::kGivenUp);
@@ -206,9 +222,10 @@
   } else if (!attempt->cancel.IsCancelled()) {
     progress.not_before = net::Now() + kRetryDelay;
   }
-  if (outcome == ItemRunOutcome::kOverLimit) {
+  if (BeginsAnew(outcome)) {
     progress.output.clear();
     progress.last_event.reset();
+    progress.end_claims.Clear();
   }
   net::LogLine("item_attempt_ended", outcome == ItemRunOutcome::kComplete
                                          ? net::LogImportance::kRoutine
--- a/src/jobs/types/item_progress.h
+++ b/src/jobs/types/item_progress.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/types/end_claims.h"
 #include "net/http_types.h"
 
 namespace lentilhead::jobs {
@@ -21,7 +22,7 @@
   std::string output;  ///< data of the events received, joined by line feeds
   std::optional<std::int64_t> last_event;
   int failures = 0;                         ///< answers that report a failed run
-  int empty_answers = 0;                    ///< answers in a row that ended before any event
+  gateway::EndClaims end_claims;            ///< since the last event
   std::optional<std::int64_t> saved_event;  ///< last_event at the last save
   int saved_failures = 0;
   net::SteadyTime not_before;  ///< no attempt starts earlier
