Resume no stream with events that have no id

Callers got events twice, framed as complete (ORDER), and so did outputs of items: a stream without ids broke off, and the next endpoint sent it from its beginning. Nothing tells such events apart. The stream is now cut, and the item begins anew.

--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -51,7 +51,7 @@
       sequence(this->routed.request.last_event_id) {}
 
 bool OnlineRun::MayRetry() const {
-  return this->may_send_again &&
+  return this->may_send_again && this->sequence.MayResume() &&
          AttemptPolicy::MayRetry(*this->routed.route, this->record, this->routed.IsRepeatable());
 }
 
--- a/src/gateway/internal/stream_sequence.cc
+++ b/src/gateway/internal/stream_sequence.cc
@@ -32,6 +32,7 @@
     return EventVerdict::kRepeated;
   }
   if (has_content) {
+    this->has_unnumbered = true;
     this->Grow();
   }
   return EventVerdict::kNext;
--- a/src/gateway/internal/stream_sequence.h
+++ b/src/gateway/internal/stream_sequence.h
@@ -39,6 +39,9 @@
   /// Whether events were received before the answer began.
   [[nodiscard]] bool IsResumed() const { return this->is_resumed; }
 
+  /// Whether another answer can resume the stream. It would repeat events that have no id.
+  [[nodiscard]] bool MayResume() const { return !this->has_unnumbered; }
+
  private:
   [[nodiscard]] EventVerdict Judge(std::int64_t id) const;
   [[nodiscard]] EventVerdict TakeUnnumbered(bool has_content);
@@ -46,6 +49,7 @@
 
   std::optional<std::int64_t> last_event;
   bool has_events;
+  bool has_unnumbered = false;
   bool is_resumed = false;
   bool has_grown = false;
   std::optional<std::int64_t> first_of_answer;
--- a/src/gateway/tests/stream_sequence_test.cc
+++ b/src/gateway/tests/stream_sequence_test.cc
@@ -101,10 +101,19 @@
   CHECK(sequence.LastEvent() == 1);
 }
 
+TEST_CASE("a stream with events that have no id cannot be resumed") {
+  StreamSequence sequence;
+  TakeAnswer(sequence, {1, 2});
+  CHECK(sequence.MayResume());
+  CHECK(sequence.Take(UnnumberedEvent()) == EventVerdict::kNext);
+  CHECK_FALSE(sequence.MayResume());
+}
+
 TEST_CASE("events without an id among repeated ones are repeated") {
   StreamSequence sequence(3);
   TakeAnswer(sequence, {1, 2});
   CHECK(sequence.Take(UnnumberedEvent()) == EventVerdict::kRepeated);
+  CHECK(sequence.MayResume());
 }
 
 }  // namespace
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -115,7 +115,11 @@
                                               gateway::AnswerFraming framing, WorkMeter& work) {
   const ItemProgress& progress = this->items.Progress(this->item);
   StreamSequence sequence(progress.last_event, progress.last_event.has_value());
-  co_return co_await this->ReadEvents(AnswerStream(attempt, framing, sequence), work);
+  const ItemRunOutcome ended =
+      co_await this->ReadEvents(AnswerStream(attempt, framing, sequence), work);
+  const bool is_resumed_next =
+      ended == ItemRunOutcome::kResume || ended == ItemRunOutcome::kEndUnproven;
+  co_return is_resumed_next && !sequence.MayResume() ? ItemRunOutcome::kBeginAnew : ended;
 }
 
 awaitable<ItemRunOutcome> ItemRun::ReadEvents(AnswerStream stream, WorkMeter& work) {
@@ -203,7 +207,11 @@
   options.endpoint_id = endpoint.entry.id;
   options.has_customers = !claim.customer.empty();
   options.customer = claim.customer;
-  options.last_event_id = this->items.Progress(this->item).last_event;
+  ItemProgress& progress = this->items.Progress(this->item);
+  if (!progress.last_event) {
+    progress.output.clear();  // without an id, the next answer repeats it
+  }
+  options.last_event_id = progress.last_event;
   net::Request message = platform::EncodeAttempt(request, options);
   EndpointFeedback::RecordAttempt(endpoint, net::Now());
   const ItemSpec& spec = this->items.Spec(this->item);
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -50,6 +50,7 @@
 
  private:
   net::asio::awaitable<ItemRunOutcome> Attempt(const Claim& claim);
+  /// Reads the events of an answer, and finds out whether what they add can be resumed.
   net::asio::awaitable<ItemRunOutcome> ReadStream(gateway::internal::EndpointAttempt& attempt,
                                                   gateway::AnswerFraming framing,
                                                   gateway::internal::WorkMeter& work);
