--- a/src/net/socket_options.h
+++ b/src/net/socket_options.h
@@ -18,7 +18,7 @@
 /// Returns the number of bytes that were received and not read; 0 for a closed connection.
 [[nodiscard]] std::size_t AvailableBytes(tcp::socket& socket);
 
-/// Tells whether an idle connection can be reused: it is open, and no error or byte is pending.
+/// Tells whether a connection is open, and no error or byte is pending on it.
 [[nodiscard]] bool IsIdleAndOpen(tcp::socket& socket);
 
 }  // namespace lentilhead::net
