--- a/src/gateway/internal/idle_connections.cc
+++ b/src/gateway/internal/idle_connections.cc
@@ -13,6 +13,8 @@
 
 void IdleConnections::Keep(Connection connection, net::SteadyTime now) {
   connection->stream.expires_never();
+  // Empty, but after a large answer its capacity is that of large reads.
+  connection->buffer.shrink_to_fit();
   connection->idle_since = now;
   Connection& kept = this->connections[connection->endpoint->incarnation];
   if (kept) {
