--- a/src/gateway/tests/idle_connections_test.cc
+++ b/src/gateway/tests/idle_connections_test.cc
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t kIncarnation = 7;
 constexpr std::chrono::milliseconds kLongAfter{60000};
+constexpr std::string_view kLastChunk = "0\r\n\r\n";
 
 /// A connection after its answer, and the endpoint's side of it.
 struct IdleFixture {
@@ -52,7 +53,6 @@
 
 TEST_CASE("bytes that follow an answer are counted once and close its connection") {
   IdleFixture fixture;
-  constexpr std::string_view kLastChunk = "0\r\n\r\n";
   net::asio::write(fixture.remote, net::asio::buffer(kLastChunk));
   fixture.AwaitArrival();
   fixture.idle.Prune(net::Now());
