Take no event without an id for the first one of a resumed answer

The sequence took each event without an id as the next one, and the stream had grown, so that no second endpoint was asked about its end.

An endpoint that resumes after an id numbers its events, so that such an event at the beginning of its answer is foreign: the attempt fails, and another endpoint resumes. Comments may still come first.

--- a/src/gateway/internal/event_verdict.h
+++ b/src/gateway/internal/event_verdict.h
@@ -8,7 +8,7 @@
 enum class EventVerdict {
   kNext,        ///< it follows the events received before
   kRepeated,    ///< it was received before, from an earlier answer
-  kNoEvent,     ///< bytes that form no event, such as the head of an answer
+  kNoEvent,     ///< no event of the stream, such as the head of an answer or the text of an error
   kGap,         ///< events before it are missing
   kOutOfOrder,  ///< its id does not exceed that of an earlier event of the same answer
 };
--- a/src/gateway/internal/stream_sequence.cc
+++ b/src/gateway/internal/stream_sequence.cc
@@ -31,6 +31,9 @@
   if (this->last_of_answer && *this->last_of_answer < *this->last_event) {
     return EventVerdict::kRepeated;
   }
+  if (has_content && this->last_event && !this->last_of_answer) {
+    return EventVerdict::kNoEvent;  // an endpoint that resumes after an id numbers its events
+  }
   if (has_content) {
     this->has_unnumbered = true;
     this->Grow();
--- a/src/gateway/tests/stream_sequence_test.cc
+++ b/src/gateway/tests/stream_sequence_test.cc
@@ -101,6 +101,16 @@
   CHECK(sequence.LastEvent() == 1);
 }
 
+TEST_CASE("an answer that resumes a numbered stream does not begin with an event without an id") {
+  StreamSequence sequence;
+  TakeAnswer(sequence, {1, 2});
+  sequence.BeginAnswer();
+  CHECK(sequence.Take({": comment\n\n", std::nullopt, false, true}) == EventVerdict::kNext);
+  CHECK(sequence.Take(UnnumberedEvent()) == EventVerdict::kNoEvent);
+  CHECK(sequence.MayResume());
+  CHECK(TakeAnswer(sequence, {3}) == Verdicts{EventVerdict::kNext});
+}
+
 TEST_CASE("a stream with events that have no id cannot be resumed") {
   StreamSequence sequence;
   TakeAnswer(sequence, {1, 2});
