Complete no item on two empty answers without framing

An output ended after event 2 of 6 and was completed (MIXED): the item's endpoint broke off, and two others stopped right behind heads without framing. For callers such answers have not counted as claims of the end since; for items they did.

AnswerStream now tells them apart for both: an answer without framing and without a new event is kEmpty, also if it resumes a stream. An item whose output may be whole then begins anew, as endpoints without framing would never prove its end.

--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -18,12 +18,14 @@
   if (this->UnfinishedBytes() > 0) {
     return StreamState::kBroken;
   }
-  const bool is_framed = this->framing != AnswerFraming::kConnection;
-  if (!this->sequence.HasGrown()) {
-    const StreamState unresumed = is_framed ? StreamState::kComplete : StreamState::kEmpty;
-    return this->sequence.IsResumed() ? StreamState::kUnproven : unresumed;
+  if (this->sequence.HasGrown()) {
+    return StreamState::kComplete;
   }
-  return StreamState::kComplete;
+  // Without framing, a connection that was lost behind the head ends in the same way.
+  if (this->framing == AnswerFraming::kConnection) {
+    return StreamState::kEmpty;
+  }
+  return this->sequence.IsResumed() ? StreamState::kUnproven : StreamState::kComplete;
 }
 
 StreamPart AnswerStream::Take(std::vector<StreamEvent> received) {
--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -13,7 +13,7 @@
   kMore,       ///< more events may follow
   kComplete,   ///< the last event was received
   kEmpty,      ///< the connection ended before any event: broken, or nothing was left to send
-  kUnproven,   ///< ended by an answer that resumed it and added no event
+  kUnproven,   ///< ended by a framed answer that resumed it and added no event
   kBroken,     ///< broken off between events or inside one
   kForeign,    ///< bytes follow that are no event
   kMisplaced,  ///< an event follows that does not continue the stream
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -244,10 +244,7 @@
     if (part.state == StreamState::kComplete) {
       co_return co_await this->EndStream(answer);
     }
-    // Without framing, a connection that was lost behind the head ends in the same way.
-    const bool claims_end = part.state == StreamState::kUnproven && !was_silent &&
-                            answer.framing != AnswerFraming::kConnection;
-    if (claims_end) {
+    if (part.state == StreamState::kUnproven && !was_silent) {
       co_return co_await this->AfterEndClaim(lease, answer);
     }
     if (was_silent || part.state != StreamState::kMore) {
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -29,6 +29,16 @@
 // The attempt ends when the endpoint completes no further event for this long.
 constexpr milliseconds kItemEventTimeout{4000};
 
+/// Outcome of an attempt whose streamed answer ended before the output was complete.
+ItemRunOutcome AfterIncomplete(StreamState state, const ItemProgress& progress) {
+  if (state == StreamState::kUnproven) {
+    return ItemRunOutcome::kEndUnproven;
+  }
+  // Endpoints that use no framing would never prove the end of an output that is whole.
+  const bool may_be_whole = state == StreamState::kEmpty && progress.last_event;
+  return may_be_whole ? ItemRunOutcome::kBeginAnew : ItemRunOutcome::kResume;
+}
+
 /// Appends the data of events that continue the output.
 void AppendEvents(ItemProgress& progress, const std::vector<StreamEvent>& events) {
   for (const StreamEvent& event : events) {
@@ -169,8 +179,7 @@
         this->RecordFailure(part.state == StreamState::kTimedOut);
       }
       this->is_connection_lost = part.state == StreamState::kBroken;
-      co_return part.state == StreamState::kUnproven ? ItemRunOutcome::kEndUnproven
-                                                     : ItemRunOutcome::kResume;
+      co_return AfterIncomplete(part.state, progress);
     }
   }
 }
