Send a request that may run once only on a connection that was not reset

Callers got 502 for requests that may run once: an endpoint resets new connections while its queue is long, and a request that was written by then may have run, as far as the node knows.

At an endpoint with a failed attempt in the last 2 s, such a request now waits for a round trip (the time that connecting took, and 2 ms) before it is written. A connection that was reset by then has carried nothing, so that the request goes to another endpoint. Sound endpoints and requests that may be repeated are not delayed.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -17,6 +17,10 @@
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
+// Recent failures of an endpoint from which on its new connections may be reset; one within 2 s.
+constexpr double kFailuresOfResets = 0.5;
+// An endpoint that resets a new connection does so within a round trip and the time to accept it.
+constexpr milliseconds kAcceptTime{2};
 constexpr int kMaxOtherAnswers = 3;  // answers to other requests to discard
 // The buffer grows for answers beyond this, so that they take fewer reads.
 constexpr std::size_t kLargeAnswerBytes = 32 << 10;
@@ -34,6 +38,16 @@
   return IsOverLimit(error) ? BodyState::kOverLimit : BodyState::kBroken;
 }
 
+/// Waits until an endpoint that resets new connections has reset this one.
+/// @param round_trip time that connecting took.
+/// @return whether the connection is open and nothing was received on it.
+awaitable<bool> OutlivesReset(std::shared_ptr<EndpointConnection> connection,
+                              std::chrono::nanoseconds round_trip) {
+  net::asio::steady_timer timer(connection->stream.get_executor(), round_trip + kAcceptTime);
+  co_await timer.async_wait(net::kAwaitWithError);
+  co_return net::IsIdleAndOpen(connection->stream.socket());
+}
+
 /// Writes a request, concurrently with the read of its answer.
 awaitable<void> WriteRequest(std::shared_ptr<EndpointConnection> connection,
                              std::shared_ptr<net::Request> message, net::MemoryBudget& memory) {
@@ -85,12 +99,22 @@
 awaitable<EndpointAttempt::StartOutcome> EndpointAttempt::Start(net::Request message,
                                                                 std::string request_id,
                                                                 AttemptLimits limits) {
+  const net::SteadyTime started = net::Now();
   const ConnectOutcome connected = co_await this->Connect(limits.answer_by);
   if (connected != ConnectOutcome::kConnected) {
     this->Abort();
     co_return connected == ConnectOutcome::kNoPath ? AttemptFailure::kNoPath
                                                    : AttemptFailure::kNotSent;
   }
+  // A request that may run once is lost with its connection, even if the endpoint never read it.
+  const bool may_be_reset =
+      !this->connection->through && this->endpoint->failures.At(net::Now()) >= kFailuresOfResets;
+  if (!limits.may_repeat && may_be_reset &&
+      !co_await OutlivesReset(this->connection, net::Now() - started)) {
+    this->gateway.metrics.GetCounter("gateway_connections_reset_unused_total").Add();
+    this->Abort();
+    co_return AttemptFailure::kNotSent;
+  }
   const bool is_head_request = message.method() == net::http::verb::head;
   const std::shared_ptr<EndpointConnection> held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
