--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -17,8 +17,8 @@
 using net::asio::awaitable;
 using std::chrono::milliseconds;
 
-// Recent failures of an endpoint from which on its new connections may be reset; one within 2 s.
-constexpr double kFailuresOfResets = 0.5;
+// A failed attempt counts for this much after 2 s. Until then new connections may be reset, too.
+constexpr double kRecentFailure = 0.5;
 // An endpoint that resets a new connection does so within a round trip and the time to accept it.
 constexpr milliseconds kAcceptTime{2};
 constexpr int kMaxOtherAnswers = 3;  // answers to other requests to discard
@@ -108,7 +108,7 @@
   }
   // A request that may run once is lost with its connection, even if the endpoint never read it.
   const bool may_be_reset =
-      !this->connection->through && this->endpoint->failures.At(net::Now()) >= kFailuresOfResets;
+      !this->connection->through && this->endpoint->failures.At(net::Now()) >= kRecentFailure;
   if (!limits.may_repeat && may_be_reset &&
       !co_await OutlivesReset(this->connection, net::Now() - started)) {
     this->gateway.metrics.GetCounter("gateway_connections_reset_unused_total").Add();
