Remove a comment on a constant that is gone

It explained how long idle connections counted as stale, and stood above another constant since connections are no longer reused. No code is changed.

--- a/src/gateway/internal/endpoint_feedback.cc
+++ b/src/gateway/internal/endpoint_feedback.cc
@@ -13,7 +13,6 @@
 constexpr milliseconds kMinSuspicion{300};   // a single failure often affects one connection only
 constexpr milliseconds kMaxSuspicion{3000};  // a recovered endpoint gets requests again by then
 constexpr milliseconds kReplacedSuspicion{10000};  // the outdated entry expires long before
-// Most network disruptions that drop idle connections are over by then.
 constexpr int kMaxBackoffExponent = 5;
 constexpr double kUnitLatencyWeight = 0.15;  // of the newest sample; the last ten weigh about 80 %
 
