--- a/review/deploy_fleet.py
+++ b/review/deploy_fleet.py
@@ -63,6 +63,7 @@
         self.block = random.randrange(100, 250)
         self.names = list(names)
         self.machines = {}  # name -> number of its address
+        self.zones = {}     # name -> zone, where there are several
         self.record = record
 
     def address(self, name):
@@ -79,7 +80,8 @@
                   "status-s": 120, "cancel-ms": 3000, "settle-ms": 1000, "quota-overrun": 0.1}
         settings = {
             "node": name, "role": "node", "machine-class": "front", "serves": ["front", "control"],
-            "ip": ip, "zone": "z", "region": "r", "zones": {"z": "r"},
+            "ip": ip, "zone": self.zones.get(name, "z"), "region": "r",
+            "zones": {zone: "r" for zone in set(self.zones.values()) or ["z"]},
             "listen": {key: f"{ip}:{ports[key]}" for key in ("front", "ready", "control")},
             "internal-ports": [ports["internal"], ports["internal"] + 15], "seeds": seeds,
             "first-start": False, "heartbeat-ms": 1200, "data-dir": None, "discovery": "platform",
