--- a/review/10/case.py
+++ b/review/10/case.py
@@ -9,11 +9,14 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import deploy_fleet  # noqa: E402
 from deploy_fleet import CONTACT_S, TROUBLE  # noqa: E402
+import crashing_endpoint  # noqa: E402
 from crashing_endpoint import CrashingEndpoint, prompt  # noqa: E402
 
 MOST_LATE = 3                        # requests that may still reach runners
 BAD_AT = (3, 8, 13, 18, 23, 34, 39, 44, 49)  # seconds; four at a time, no two alike
 KILLED_AT, BACK_AFTER, PLAYED = 26, 1, 53
+# An entry lapses after three heartbeats of 1.2 s; the last one was up to 1.2 s before the crash.
+crashing_endpoint.HEARTBEATS_MISSED, crashing_endpoint.DOWN = 3.0, 4.0
 
 
 class Fleet(deploy_fleet.DeployFleet):
