--- a/review/deploy_fleet.py
+++ b/review/deploy_fleet.py
@@ -66,6 +66,13 @@
         self.zones = {}     # name -> zone, where there are several
         self.record = record
 
+    async def __aenter__(self):
+        try:
+            return await super().__aenter__()
+        except BaseException:  # `async with` ends only what it has entered
+            await self.__aexit__(None, None, None)
+            raise
+
     def address(self, name):
         number = self.machines.setdefault(name, len(self.machines) + 1)
         return f"127.{self.block}.{self.network}.{number}"
