--- a/review/loopback_fleet.py
+++ b/review/loopback_fleet.py
@@ -133,14 +133,16 @@
 
     # The operator, and the entries of the runners.
 
-    def configure(self, version, more_routes=()):
+    def configure(self, version, more_routes=(), has_batch_route=True):
         def route(name, prefix, kind, **more):
             return {"name": name, "host": HOST, "path-prefix": prefix, "kind": kind, "timeout-ms": 5000,
                     "target-latency-ms": 300, "priority": 0, "service": "llm", "max-attempts": 2, **more}
         stream = {"resumable": True, "gap-aim-ms": 200, "session-affinity": True}
-        routes = [route("r-stream", "/lohu930/", "stream", **stream),
-                  route("r-batch", self.batch_prefix, "batch", **{"target-latency-ms": 500, "results-due-ms": 18000,
-                                                                  "max-wait-s": 120, "max-attempts": 3, "priority": 2})]
+        routes = [route("r-stream", "/lohu930/", "stream", **stream)]
+        if has_batch_route:
+            routes.append(route("r-batch", self.batch_prefix, "batch",
+                                **{"target-latency-ms": 500, "results-due-ms": 18000, "max-wait-s": 120,
+                                   "max-attempts": 3, "priority": 2}))
         routes += [route(f"r-{prefix.strip('/')}", prefix, "stream", **stream) for prefix in more_routes]
         services = [{"name": "llm", "health-path": "/healthz", "max-conns": 250, "protocol": "h1", "tls": False,
                      "engine": {"slots": 8, "kv-cache-tokens": 72000}}]
@@ -251,12 +253,15 @@
             if writer:
                 writer.close()
 
-    async def submit(self, job, items, names, path="{n}/91c4"):
-        """Hands in a batch job, at the next node after each failure. `items` holds the bodies of the items."""
+    async def submit(self, job, items, names, path="{n}/91c4", headers=None):
+        """Hands in a batch job, at the next node after each failure.
+
+        `items` holds the bodies of the items; `headers` those of some items, by number."""
         body = json.dumps({"requests": [
             {"id": f"{job}-{n}", "path": self.batch_prefix + path.format(n=n), "tokens": 940,
              "body": base64.b64encode(item).decode(),
-             "headers": {"X-Model": "m", "X-Token-Count": "540,400", "X-Prompt-Prefix": f"{job}:300,{job}{n}:240"}}
+             "headers": {"X-Model": "m", "X-Token-Count": "540,400", "X-Prompt-Prefix": f"{job}:300,{job}{n}:240",
+                         **(headers or {}).get(n, {})}}
             for n, item in enumerate(items)]}).encode()
         for name in names:
             status, _ = await self.call(name, "POST", self.batch_prefix + job, body, {"X-Request-Id": job})
--- a/review/runner_standin.py
+++ b/review/runner_standin.py
@@ -11,6 +11,7 @@
 import time
 
 QUEUE = 24
+WEIGHTS = "1"  # version of the weights
 FIGURES = {"first_s": 0.1, "gap_s": 0.02, "events": 24, "event_bytes": 0, "slots": 8, "refusal_bytes": 100}
 
 
@@ -26,7 +27,8 @@
 
     def head(self, status, request, *more):
         lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {request}", f"X-Instance-Id: {self.identity}",
-                 f"X-Server-Load: {self.running},{self.waiting},{self.figures['slots']:.0f}", *more]
+                 f"X-Server-Load: {self.running},{self.waiting},{self.figures['slots']:.0f}",
+                 f"X-Weight-Versions: {WEIGHTS}", *more]
         if status not in (421, 503):
             lines.append(f"X-Server-Stamp: s.{self.identity}.{request}")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
@@ -51,6 +53,10 @@
         if fields.get("x-expect-instance", self.identity) != self.identity:
             writer.write(self.head(421, request, "Content-Length: 0", "X-Not-Executed: 1"))
             return True
+        if fields.get("x-expect-version", WEIGHTS) != WEIGHTS:
+            self.note("421", request)
+            writer.write(self.head(421, request, "Content-Length: 0", "X-Not-Executed: 1"))
+            return True
         if self.running >= self.figures["slots"] and self.waiting >= QUEUE:
             writer.write(self.head(503, request, "Content-Length: 0", "X-Not-Executed: 1"))
             return True
