--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,5 +1,6 @@
-"""One part of prompts crashes each runner that begins to write an answer on it: each has written the
-first event by then."""
+"""One item that is larger than any runner's memory, at the head of a batch job of ten items.
+
+The other nine items fit, and the runners are nearly idle."""
 import asyncio
 import base64
 import json
@@ -10,102 +11,110 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import deploy_fleet  # noqa: E402
-from deploy_fleet import CONTACT_S, TROUBLE  # noqa: E402
-import crashing_endpoint  # noqa: E402
-from crashing_endpoint import CrashingEndpoint, parts_of, prompt  # noqa: E402
+from deploy_fleet import FINISH_S, TROUBLE  # noqa: E402
 from node_fleet import encode  # noqa: E402
+from store_standin import Endpoint, http_answer  # noqa: E402
+
+MEMORY, SLOTS, RUNNERS = 72000, 8, 4
+SOUND, LARGE = 250, int(os.environ.get("LARGE", "80000"))  # tokens of a prompt
+TRAFFIC_S = 14
+
+
+class Runner(Endpoint):
+    """Turns a request down as if it were full if that is larger than its memory."""
+
+    def __init__(self, name, record):
+        self.at_work = {}
+        super().__init__(name, events=30, pause=0.03)
+        self.record = record
+        self.ended = []  # (time, id) of runs that have ended, whole or not
 
-MOST_LATE = 3             # requests that may still reach runners
-RUNNERS, PLAYED = 14, 30  # seconds
-BAD_PERIOD, SOUND_PERIOD = 1.0, 0.05
-# An entry lapses after three heartbeats of 1.2 s; the last one was up to 1.2 s before the crash.
-crashing_endpoint.HEARTBEATS_MISSED, crashing_endpoint.DOWN = 3.0, 4.0
+    @property
+    def load(self):  # running, waiting, slots, and how long work takes (100: as usual)
+        return f"{len(self.at_work)},0,{SLOTS},100"
 
+    @load.setter
+    def load(self, _):
+        pass
 
-class Runner(CrashingEndpoint):
     async def answer(self, reader, writer, line, headers, fault):
-        if "bad" not in parts_of(headers) or headers.get("x-expect-instance") != self.name:
+        identity = headers.get("x-request-id", "")
+        tokens = sum(int(count) for count in headers.get("x-token-count", "0,0").split(","))
+        if tokens > MEMORY or len(self.at_work) >= SLOTS:
+            self.record.write(f"{self.name} rejects {identity} ({tokens} tokens)")
+            writer.write(http_answer(503, b"", {"X-Not-Executed": 1, "X-Request-Id": identity,
+                                                "X-Server-Load": self.load}))
+            return True
+        self.at_work[identity] = time.monotonic()
+        self.record.write(f"{self.name} runs {identity}")
+        try:
             return await super().answer(reader, writer, line, headers, fault)
-        identity, start = headers["x-request-id"], int(headers.get("last-event-id", 0)) + 1
-        self.fleet.reached.append((time.monotonic(), identity))
-        if not TROUBLE:
-            return await super().answer(reader, writer, line, headers, fault)
-        await asyncio.sleep(0.06)
-        if writer not in self.writers:  # crashed meanwhile
-            return False
-        event = b"id: %d\ndata: %s-%d\n\n" % (start, identity.encode(), start)
-        writer.write(self.head(headers, "Transfer-Encoding: chunked") + b"%x\r\n%s\r\n" % (len(event), event))
-        await asyncio.sleep(0.02)
-        self.fleet.ended.append(time.monotonic())
-        self.end()
-        return False
+        finally:
+            del self.at_work[identity]
+            self.ended.append((time.monotonic(), identity))
 
 
 class Fleet(deploy_fleet.DeployFleet):
-    def __init__(self, names, record):
-        super().__init__(names, record)
-        self.endpoints = [Runner(self, f"i-{number}") for number in range(RUNNERS)]
-        self.ended, self.reached, self.tasks = [], [], []
-
-    async def __aexit__(self, *error):
-        for task in self.tasks:
-            task.cancel()
-        await super().__aexit__(*error)
-
     def configure(self, **_):
         super().configure()
-        config = json.loads(base64.b64decode(self.store.rows[("op", "", "config")][0]))
-        stream = next(route for route in config["routes"] if route["kind"] == "stream")
-        config["routes"].append({**stream, "name": "once", "path-prefix": "/once/", "resumable": False,
-                                 "max-attempts": 1})
-        self.store.put("op", "", "config", encode({**config, "version": 2}))
+        value, _ = self.store.rows[("op", "", "config")]
+        config = json.loads(base64.b64decode(value))
+        config["version"] = 2
+        config["services"] = [{"name": "svc", "health-path": "/healthz", "max-conns": 250, "engine": {
+            "slots": SLOTS, "kv-cache-tokens": MEMORY, "models": [{"name": "m"}]}}]
+        self.store.put("op", "", "config", encode(config))
 
-    async def start_endpoint(self, endpoint):
-        endpoint.server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
-        self.servers.append(endpoint.server)
-        self.register_endpoint(endpoint, endpoint.server.sockets[0].getsockname()[1])
+
+def job_body(job, prompts):
+    return json.dumps({"requests": [
+        {"id": f"{job}{number:02x}", "path": "/batch/x", "tokens": tokens + 30,
+         "headers": {"X-Model": "m", "X-Token-Count": f"{tokens},30",
+                     "X-Prompt-Prefix": f"5c:100,{job}{number:02x}:{tokens - 100}"},
+         "body": base64.b64encode(b"item %d" % number).decode()}
+        for number, tokens in enumerate(prompts)]}).encode()
 
 
 async def main(record):
     fleet = Fleet(["front-1", "front-2", "front-3"], record)
-    calls, sound_answers, number = set(), [], 0
-
-    async def send(parts, is_sound):
-        nonlocal number
-        number += 1
-        path = "/once/x" if is_sound and number % 2 else "/stream/x"
-        identity = f"a{number:04x}"
-        headers = {"X-Token-Count": "300,30", "X-Prompt-Prefix": prompt(*parts, identity)}
-        status = await fleet.stream(fleet.names[number % 3], identity, headers, path)
-        if is_sound:
-            sound_answers.append(status)
-
-    def start(parts, is_sound=True):
-        call = asyncio.ensure_future(send(parts, is_sound))
-        calls.add(call)
-        call.add_done_callback(calls.discard)
-
+    fleet.endpoints = [Runner(f"i-{number}", record) for number in range(RUNNERS)]
     async with fleet:
-        await asyncio.sleep(1.5)
-        begin, next_bad, turn = time.monotonic(), 0.0, 0
-        while time.monotonic() < begin + PLAYED:
-            start([f"f{number % 3}", f"s{number % 40}"])
-            if time.monotonic() - begin > 2 and time.monotonic() > next_bad:
-                next_bad, turn = time.monotonic() + BAD_PERIOD, turn + 1
-                start([f"f{turn % 3}", "bad"], is_sound=False)
-            await asyncio.sleep(SOUND_PERIOD)
+        end = time.monotonic() + TRAFFIC_S
+        calls = []
+
+        async def online():
+            number = 0
+            while time.monotonic() < end:
+                number += 1
+                calls.append(asyncio.ensure_future(fleet.stream(
+                    fleet.names[number % 3], f"a{number:04x}",
+                    {"X-Token-Count": "250,30", "X-Prompt-Prefix": f"5c:100,a{number:04x}:150"})))
+                await asyncio.sleep(0.1)
+
+        traffic = asyncio.ensure_future(online())
+        await asyncio.sleep(3)
+        jobs = {f"b{number}": [SOUND] * 10 for number in range(8)}
+        jobs["b4"][0] = LARGE if TROUBLE else SOUND
+        for number, (job, prompts) in enumerate(jobs.items()):
+            if await fleet.send_job(fleet.names[number % 3], job, job_body(job, prompts)) != 202:
+                raise RuntimeError(f"{job} was not accepted")
+            await asyncio.sleep(1)
+        await traffic
         await asyncio.gather(*calls)
-        for at, identity in fleet.reached:
-            record.write(f"{identity}, with the part, reached a runner at {at - record.start:.3f}")
-        for at in fleet.ended:
-            record.write(f"a runner crashed at {at - record.start:.3f}")
-        known = fleet.ended[4] + CONTACT_S if len(fleet.ended) > 4 else float("inf")
-        late = sum(at > known for at, _ in fleet.reached)
+        await asyncio.sleep(end + FINISH_S - time.monotonic())
+        now = time.monotonic()
+        fits = {f"{job}{number:02x}" for job, prompts in jobs.items()
+                for number, tokens in enumerate(prompts) if tokens + 30 <= MEMORY}
+        listed = {result["id"] for job in jobs for result in await fleet.listed("front-1", job)}
+        missing = sorted(fits - listed)
+        busy = [identity for runner in fleet.endpoints for identity in runner.at_work]
+        items = [at for runner in fleet.endpoints for at, identity in runner.ended if identity[0] == "b"]
+        had = [identity for runner in fleet.endpoints for at, identity in runner.ended
+               if identity in missing and at > now - 5]
+        is_calm = not busy and not had and not any(at > now - 3 for at in items)
         return deploy_fleet.end(
-            record, late > MOST_LATE,
-            f"{late} requests with the part reached runners later than {CONTACT_S} s after the fifth crash "
-            f"({MOST_LATE} may); {len(fleet.ended)} crashes in all; {sound_answers.count(200)} of "
-            f"{len(sound_answers)} sound streams whole")
+            record, bool(missing) and is_calm,
+            f"{len(fits) - len(missing)} of {len(fits)} items that fit are listed {FINISH_S} s after traffic; "
+            f"missing {' '.join(missing) or 'none'}; runners at work on {len(busy)}")
 
 
 deploy_fleet.run(main, os.path.dirname(os.path.abspath(__file__)))
