Let items and requests that lack memory hold up no smaller ones

A choice gave the reason "all full" both without a free slot and without the memory for this request. StartNextItem took it as the former and passed over the service, and a job offered its first waiting item only, so each round asked for the same item. Besides, a request was placed only if it and the estimated needs of those at the endpoint stayed within 0.85 of the memory, so that one above 0.85 alone never ran.

A choice now tells how much memory an endpoint with a free slot has left, and a round of starts passes over the items that need more, in every job. The margin for estimates applies to the requests that are at the endpoint. An item that no endpoint can hold waits until it is given up, as before, but alone.

The same on related paths: the queue of online requests stood still behind one that lacked memory, and one that no endpoint can hold waited to the end of its time. The first is passed over now, the second is refused at once (too_large).

--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -25,7 +25,8 @@
   Admission(net::asio::any_io_executor executor, EndpointRegistry& registry);
 
   /// Waits for a free slot at an endpoint. A request that has not begun does not wait if the limits
-  /// that the endpoints name are expected to allow it only after its wait ends.
+  /// that the endpoints name are expected to allow it only after its wait ends, nor one that needs
+  /// more memory than an endpoint has.
   /// @param terms how it waits. @param cancel ends the wait early.
   net::asio::awaitable<AdmissionOutcome> Acquire(ChoiceRequest request, WaitTerms terms,
                                                  CancelScope& cancel);
@@ -71,6 +72,8 @@
     net::asio::steady_timer* timer;
     AdmissionOutcome outcome;
     bool is_settled = false;  ///< the outcome is final
+    /// At the last try no endpoint had the memory for it, so that it holds up no smaller request.
+    bool lacks_memory = false;
   };
 
   /// What is known of a service's online requests.
@@ -97,8 +100,10 @@
   [[nodiscard]] bool HasQueue(const Service& service, const admission::Capacity& capacity) const;
   void DispatchService(Service& service);
   /// Queues a request until it has a slot or is refused.
+  /// @param lacks_memory no endpoint has the memory for it now.
   net::asio::awaitable<AdmissionOutcome> Wait(Service& service, ChoiceRequest request,
-                                              admission::Ticket ticket, CancelScope& cancel);
+                                              admission::Ticket ticket, bool lacks_memory,
+                                              CancelScope& cancel);
   /// Notes how full a service is. @param capacity of the service now.
   static void Observe(Service& service, const admission::Capacity& capacity, net::SteadyTime now);
   /// Assigns slots from time to time while requests wait and limits apply.
--- a/src/gateway/endpoint_registry.h
+++ b/src/gateway/endpoint_registry.h
@@ -141,6 +141,9 @@
   [[nodiscard]] std::vector<std::string> PeersThatMustYield(const EndpointState& state,
                                                             net::SteadyTime now) const;
 
+  /// Whether a request needs more memory than an endpoint of its service has.
+  [[nodiscard]] bool IsTooLarge(const ChoiceRequest& request) const;
+
   /// Slots of a service's endpoints that this node's group uses first.
   [[nodiscard]] std::size_t GroupSlots(const std::string& service) const;
 
@@ -183,10 +186,12 @@
                                          std::size_t endpoints, double unseen) const;
   /// Whether an endpoint is in this node's share of the endpoints. @param rank place in their list.
   [[nodiscard]] bool IsInShare(std::size_t rank, std::size_t endpoints) const;
-  /// Whether an endpoint of a service that is placed by work can take a request.
+  /// Whether an endpoint of a service that is placed by work has a free slot for a request.
   /// @param in_flight as `Expect` gives it: without batch requests that yield to this one.
-  [[nodiscard]] bool HasRoom(const EndpointState& state, const ChoiceRequest& request,
-                             double in_flight, net::SteadyTime now) const;
+  [[nodiscard]] static bool HasSlot(const EndpointState& state, const ChoiceRequest& request,
+                                    double in_flight);
+  /// Tokens that one more request may need at an endpoint; infinite if its memory is not known.
+  [[nodiscard]] double FreeMemory(const EndpointState& state, const ChoiceRequest& request) const;
   /// Units of work left of a request in flight at an endpoint, on average.
   [[nodiscard]] double MeanLeft(const EndpointState& state) const;
 
--- a/src/gateway/internal/admission.cc
+++ b/src/gateway/internal/admission.cc
@@ -93,7 +93,9 @@
 AdmissionOutcome Admission::TryAcquire(const ChoiceRequest& request) {
   Choice choice = this->registry.Choose(request, net::Now());
   if (!choice.endpoint) {
-    return {EndpointLease(), choice.reason, std::nullopt};
+    AdmissionOutcome outcome{EndpointLease(), choice.reason, std::nullopt};
+    outcome.free_memory = choice.free_memory;
+    return outcome;
   }
   return {this->MakeLease(std::move(choice.endpoint), request), NoChoice::kChosen, std::nullopt};
 }
@@ -148,10 +150,10 @@
 }
 
 bool Admission::HasQueue(const Service& service, const admission::Capacity& capacity) const {
-  // A request that excludes endpoints may wait while one of those has a free slot.
+  // A request that excludes endpoints, or needs much memory, may wait while others can start.
   std::set<Id> narrow;
   for (const auto& [id, waiter] : service.waiters) {
-    if (waiter->is_settled || !waiter->request.excluded.empty()) {
+    if (waiter->is_settled || waiter->lacks_memory || !waiter->request.excluded.empty()) {
       narrow.insert(id);
     }
   }
@@ -201,6 +203,9 @@
 
 awaitable<AdmissionOutcome> Admission::Acquire(ChoiceRequest request, WaitTerms terms,
                                                CancelScope& cancel) {
+  if (this->registry.IsTooLarge(request)) {
+    co_return AdmissionOutcome{EndpointLease(), NoChoice::kTooLarge};
+  }
   Service& service = this->ServiceOf(request.service);
   request.customer = terms.customer;
   this->registry.Limits().Demand().RecordRequest(service.key, net::Now());
@@ -208,6 +213,7 @@
   const admission::Capacity capacity = this->CapacityOf(service);
   Observe(service, capacity, net::Now());
   service.queue.RecordAsked(ticket, net::Now());
+  bool lacks_memory = false;
   const bool has_place = !ticket.has_objectives || capacity.HasPlaceFor(ticket, net::Now());
   if (has_place && !this->HasQueue(service, capacity) &&
       service.queue.MayStart(ticket, capacity, net::Now())) {
@@ -218,6 +224,7 @@
       }
       co_return outcome;
     }
+    lacks_memory = outcome.free_memory.has_value();
   }
   const std::optional<milliseconds> permit_wait =
       request.has_begun ? std::nullopt
@@ -225,7 +232,8 @@
   if (permit_wait && net::Now() + *permit_wait > terms.until) {
     co_return AdmissionOutcome{EndpointLease(), NoChoice::kAllFull, permit_wait};
   }
-  AdmissionOutcome outcome = co_await this->Wait(service, std::move(request), ticket, cancel);
+  AdmissionOutcome outcome =
+      co_await this->Wait(service, std::move(request), ticket, lacks_memory, cancel);
   if (!outcome.lease && outcome.reason == NoChoice::kAllFull) {
     outcome.permit_wait = permit_wait;
   }
@@ -233,9 +241,11 @@
 }
 
 awaitable<AdmissionOutcome> Admission::Wait(Service& service, ChoiceRequest request,
-                                            admission::Ticket ticket, CancelScope& cancel) {
+                                            admission::Ticket ticket, bool lacks_memory,
+                                            CancelScope& cancel) {
   net::asio::steady_timer timer(this->executor);
   Waiter waiter{std::move(request), &timer, {EndpointLease(), NoChoice::kAllFull, std::nullopt}};
+  waiter.lacks_memory = lacks_memory;
   ticket.id = service.queue.Add(ticket);
   service.waiters[ticket.id] = &waiter;
   this->PollWhileLimited();
@@ -294,17 +304,28 @@
   admission::Capacity capacity = this->CapacityOf(service);
   Observe(service, capacity, now);
   std::set<Id> skipped;
+  double free_memory = std::numeric_limits<double>::infinity();
   while (std::optional<admission::Ticket> next = service.queue.Next(now, capacity, skipped)) {
     Waiter& waiter = *service.waiters.at(next->id);
     if (next->has_objectives && !capacity.HasPlaceFor(*next, now)) {
       skipped.insert(next->id);  // one that has begun may follow
       continue;
     }
+    if (waiter.request.cost.memory_tokens > free_memory) {
+      waiter.lacks_memory = true;
+      skipped.insert(next->id);
+      continue;
+    }
     AdmissionOutcome outcome = this->TryAcquire(waiter.request);
+    waiter.lacks_memory = outcome.free_memory.has_value();
     if (outcome.reason == NoChoice::kAllFull) {
-      if (waiter.request.excluded.empty()) {
+      const bool may_use_all = waiter.request.excluded.empty();
+      if (may_use_all && !outcome.free_memory) {
         return;
       }
+      if (may_use_all) {
+        free_memory = *outcome.free_memory;
+      }
       skipped.insert(next->id);
       continue;
     }
--- a/src/gateway/internal/endpoint_registry.cc
+++ b/src/gateway/internal/endpoint_registry.cc
@@ -199,6 +199,9 @@
 }
 
 Choice EndpointRegistry::Choose(const ChoiceRequest& request, net::SteadyTime now) const {
+  if (this->IsTooLarge(request)) {
+    return {nullptr, NoChoice::kTooLarge, request.endpoint_memory};
+  }
   const double median_latency_ms =
       this->IsPlacedByWork(request.service) ? 0 : this->MedianUnitLatency(request.service);
   Choice choice = this->ChooseAmong(request, Scope::kGroup, median_latency_ms, now);
@@ -253,6 +256,7 @@
                                      double median_latency_ms, net::SteadyTime now) const {
   const bool needs_healthy = request.work == WorkClass::kBatch || request.only_healthy;
   NoChoice reason = NoChoice::kNoUsable;
+  std::optional<double> free_memory;
   Health best_health = Health::kUnreachable;
   bool any_reachable = false;
   std::vector<std::shared_ptr<EndpointState>> usable;
@@ -282,12 +286,17 @@
       expected.rank = rank;
     }
     const bool has_capacity = is_by_work
-                                  ? this->HasRoom(*state, request, expected.in_flight, now)
+                                  ? HasSlot(*state, request, expected.in_flight)
                                   : HasCapacity(*state, request.work, EstimatedTotal(*state, now));
     if (!has_capacity || health < best_health || (health != Health::kHealthy && needs_healthy) ||
         !this->IsWithinLimit(*state, request, now)) {
       continue;
     }
+    const double free = this->FreeMemory(*state, request);
+    if (request.cost.memory_tokens > free) {
+      free_memory = std::max(free_memory.value_or(0), free);
+      continue;
+    }
     if (health > best_health) {
       best_health = health;
       usable.clear();
@@ -304,7 +313,7 @@
   }
   // Waiting for a slot at a reachable endpoint is better than trying an unreachable one.
   if (usable.empty() || (best_health == Health::kUnreachable && any_reachable)) {
-    return {nullptr, reason};
+    return {nullptr, reason, free_memory};
   }
   const double unseen = this->UnseenRequests(request, scope, usable.front()->shared_by);
   if (is_by_work) {
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -276,6 +276,8 @@
       }
       if (admitted.reason == NoChoice::kAllFull) {
         co_await this->RefuseFull(admitted);
+      } else if (admitted.reason == NoChoice::kTooLarge) {
+        co_await this->Refuse("too_large", RefusalPolicy::kTooLargeRetryAfter);
       } else {
         co_await this->Refuse("no_endpoint");
       }
--- a/src/gateway/internal/placement_by_work.cc
+++ b/src/gateway/internal/placement_by_work.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <limits>
 
 #include "gateway/endpoint_registry.h"
 #include "placement/work_placement.h"
@@ -37,9 +38,8 @@
 constexpr double kRestWeight = 0.05;
 // Batch items have no objective for their first event.
 constexpr double kBatchRestWeight = 1;
-// The estimates of the tokens in use are rough, and the engine preempts or crashes beyond its
-// memory.
-constexpr double kUsableMemory = 0.85;
+// The tokens in use are estimated roughly, and the engine preempts or crashes beyond its memory.
+constexpr double kEstimatedShare = 0.85;
 constexpr double kZoneAdvantageMs = 1;  // only breaks ties in favour of the own zone
 constexpr int kBatchHeadroom = 1;
 
@@ -166,12 +166,8 @@
   return best < expected.size() ? best : WorkPlacement::Choose(expected, unseen, this->draw());
 }
 
-bool EndpointRegistry::HasRoom(const EndpointState& state, const ChoiceRequest& request,
-                               double in_flight, net::SteadyTime) const {
-  if (request.endpoint_memory > 0 &&
-      state.work.Memory() + request.cost.memory_tokens > kUsableMemory * request.endpoint_memory) {
-    return false;
-  }
+bool EndpointRegistry::HasSlot(const EndpointState& state, const ChoiceRequest& request,
+                               double in_flight) {
   const int slots = state.entry.slots;
   if (request.work == WorkClass::kBatch) {
     return in_flight < slots - std::min(kBatchHeadroom, slots - 1);
@@ -179,4 +175,17 @@
   return in_flight < slots + kQueued;
 }
 
+double EndpointRegistry::FreeMemory(const EndpointState& state,
+                                    const ChoiceRequest& request) const {
+  const bool is_known = this->IsPlacedByWork(request.service) && request.endpoint_memory > 0;
+  return is_known ? request.endpoint_memory - state.work.Memory() / kEstimatedShare
+                  : std::numeric_limits<double>::infinity();
+}
+
+bool EndpointRegistry::IsTooLarge(const ChoiceRequest& request) const {
+  // An answer that has begun shows that the request fits.
+  return this->IsPlacedByWork(request.service) && request.endpoint_memory > 0 &&
+         !request.has_begun && request.cost.memory_tokens > request.endpoint_memory;
+}
+
 }  // namespace lentilhead::gateway
--- a/src/gateway/refusal_policy.h
+++ b/src/gateway/refusal_policy.h
@@ -13,6 +13,10 @@
   /// Retry-After of a node that leaves: another node can take the caller at once.
   static constexpr std::chrono::milliseconds kOtherNodeRetryAfter{100};
 
+  /// Retry-After of a request that needs more memory than an endpoint has: only another
+  /// configuration helps, so an early return gains nothing.
+  static constexpr std::chrono::milliseconds kTooLargeRetryAfter{3000};
+
   /// Time until which a request waits for a free slot.
   [[nodiscard]] static net::SteadyTime WaitUntil(const Route& route, net::SteadyTime wait_start,
                                                  net::SteadyTime deadline);
--- a/src/gateway/tests/admission_test.cc
+++ b/src/gateway/tests/admission_test.cc
@@ -133,6 +133,91 @@
   fixture.loop.run();
 }
 
+/// A request at endpoints with a memory of 1,000 tokens.
+class MemoryFixture : public AdmissionFixture {
+ public:
+  MemoryFixture() {
+    EndpointState& free = *this->registry.All().at("free");
+    free.entry.slots = 4;
+    this->registry.RecordLoad(free, ReportedLoad{0, 0, 4, 1.0}, net::Now());
+  }
+
+  static ChoiceRequest RequestOf(double tokens) {
+    ChoiceRequest request{"svc", {}, WorkClass::kOnline};
+    request.endpoint_memory = 1000;
+    request.cost.memory_tokens = tokens;
+    return request;
+  }
+
+  asio::awaitable<void> AcquireMemory(double tokens, AdmissionOutcome& outcome) {
+    WaitTerms terms;
+    terms.until = net::Now() + milliseconds(200);
+    outcome = co_await this->admission.Acquire(RequestOf(tokens), terms, this->cancel);
+  }
+
+  void Start(double tokens, AdmissionOutcome& outcome) {
+    asio::co_spawn(this->loop, this->AcquireMemory(tokens, outcome), asio::detached);
+    this->loop.restart();
+    this->loop.run_for(milliseconds(10));
+  }
+};
+
+// Guards against one large request that keeps all others of its service waiting.
+TEST_CASE("a request that waits for memory does not keep a smaller one from a free slot") {
+  MemoryFixture fixture;
+  AdmissionOutcome running;
+  AdmissionOutcome large;
+  AdmissionOutcome small;
+  fixture.Start(300, running);
+  REQUIRE(running.lease);
+  fixture.Start(800, large);
+  CHECK_FALSE(large.lease);
+  fixture.Start(300, small);
+  CHECK(small.lease);
+  running.lease.Release();
+  small.lease.Release();
+  fixture.admission.Dispatch();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  CHECK(large.lease);
+}
+
+// Guards against a queue that stands still behind a request that waits for memory.
+TEST_CASE("memory that becomes free goes to the requests that it suffices for") {
+  MemoryFixture fixture;
+  AdmissionOutcome running;
+  AdmissionOutcome large;
+  AdmissionOutcome medium;
+  AdmissionOutcome small;
+  fixture.Start(800, running);
+  REQUIRE(running.lease);
+  fixture.Start(900, large);
+  fixture.Start(500, medium);
+  fixture.Start(50, small);
+  CHECK(small.lease);
+  CHECK_FALSE(medium.lease);
+  running.lease.Release();
+  fixture.admission.Dispatch();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  CHECK(large.lease);
+  CHECK_FALSE(medium.lease);
+  large.lease.Release();
+  fixture.admission.Dispatch();
+  fixture.loop.restart();
+  fixture.loop.run_for(milliseconds(10));
+  CHECK(medium.lease);
+}
+
+// Guards against a request that waits to the end of its time though no endpoint can run it.
+TEST_CASE("a request that is larger than the memory of an endpoint is refused at once") {
+  MemoryFixture fixture;
+  AdmissionOutcome refused;
+  fixture.Start(1001, refused);
+  CHECK(fixture.loop.stopped());
+  CHECK(refused.reason == NoChoice::kTooLarge);
+}
+
 // Runs as a test of its own, since it fails at times (KNOWN-RED.txt).
 TEST_CASE("a customer at its share leaves the free slot to another one, and gives back its slots" *
           doctest::skip()) {
--- a/src/gateway/tests/endpoint_registry_test.cc
+++ b/src/gateway/tests/endpoint_registry_test.cc
@@ -49,6 +49,45 @@
   CHECK(registry.Choose(Online(), kStart).reason == NoChoice::kAllFull);
 }
 
+TEST_CASE("a choice without enough memory tells how much an endpoint with a free slot has") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  registry.Put(Entry("two"));
+  registry.RecordLoad(StateOf(registry, "one"), ReportedLoad{0, 0, 4, 1.0}, kStart);
+  placement::RequestCost cost;
+  cost.memory_tokens = 340;
+  StateOf(registry, "one").work.Begin(cost);
+  cost.memory_tokens = 170;
+  StateOf(registry, "two").work.Begin(cost);
+  ChoiceRequest request{"svc", {}, WorkClass::kBatch};
+  request.endpoint_memory = 1000;
+  request.cost.memory_tokens = 801;
+  const Choice choice = registry.Choose(request, kStart);
+  CHECK(choice.reason == NoChoice::kAllFull);
+  REQUIRE(choice.free_memory);
+  CHECK(*choice.free_memory == doctest::Approx(800));
+  request.cost.memory_tokens = 799;
+  CHECK(registry.Choose(request, kStart).endpoint->entry.id == "two");
+  StateOf(registry, "one").own_batch = 4;
+  StateOf(registry, "two").own_batch = 4;
+  CHECK_FALSE(registry.Choose(request, kStart).free_memory);
+}
+
+// Guards against requests that an endpoint can hold, but that are never sent to one.
+TEST_CASE("an endpoint without requests takes one that needs all its memory, and no larger one") {
+  EndpointRegistry registry("a");
+  registry.Put(Entry("one"));
+  registry.RecordLoad(StateOf(registry, "one"), ReportedLoad{0, 0, 4, 1.0}, kStart);
+  ChoiceRequest request{"svc", {}, WorkClass::kBatch};
+  request.endpoint_memory = 1000;
+  request.cost.memory_tokens = 1000;
+  CHECK(registry.Choose(request, kStart).endpoint);
+  request.cost.memory_tokens = 1001;
+  const Choice choice = registry.Choose(request, kStart);
+  CHECK(choice.reason == NoChoice::kTooLarge);
+  CHECK(choice.free_memory == 1000);
+}
+
 TEST_CASE("the own zone only breaks ties") {
   EndpointRegistry registry("b");
   registry.Put(Entry("far", 4, "a"));
--- a/src/gateway/types/admission_outcome.h
+++ b/src/gateway/types/admission_outcome.h
@@ -17,7 +17,8 @@
   std::optional<std::chrono::milliseconds> permit_wait;
   /// Why the request was not kept waiting, if all endpoints were full.
   admission::RefusalCause cause = admission::RefusalCause::kNoSlotInTime;
-  bool has_waited = false;  ///< the request was queued
+  bool has_waited = false;              ///< the request was queued
+  std::optional<double> free_memory{};  ///< as Choice::free_memory
 };
 
 }  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "jobs/internal/item_run.h"
@@ -85,9 +86,26 @@
   }
 }
 
-std::optional<std::size_t> JobService::NextAllowedItem(internal::OwnedJob& job,
+bool JobService::Fits(const internal::OwnedJob& job, std::size_t item, double memory,
+                      net::SteadyTime now) const {
+  if (std::isinf(memory)) {
+    return true;
+  }
+  const ItemSpec& spec = job.items.Spec(item);
+  if (spec.cost.prompt_tokens.value_or(0) > memory) {
+    return false;  // saves the estimate of the output
+  }
+  const placement::CostQuery query = internal::ItemRun::CostQueryOf(job.claim, spec);
+  return this->gateway.costs.Estimate(query, now).memory_tokens <= memory;
+}
+
+std::optional<std::size_t> JobService::NextAllowedItem(internal::OwnedJob& job, double memory,
                                                        net::SteadyTime now) {
-  while (const std::optional<std::size_t> item = job.items.NextItem(now)) {
+  std::optional<std::size_t> item = job.items.NextItem(now);
+  for (; item; item = job.items.NextItem(now, *item + 1)) {
+    if (!this->Fits(job, *item, memory, now)) {
+      continue;
+    }
     const gateway::PartVerdict verdict =
         this->gateway.quarantine.Check(job.items.Spec(*item).keys, now);
     if (!std::holds_alternative<gateway::PartHeld>(verdict)) {
@@ -99,7 +117,7 @@
   return std::nullopt;
 }
 
-std::optional<JobService::ItemStart> JobService::NextStart(const std::set<std::string>& full) {
+std::optional<JobService::ItemStart> JobService::NextStart(const internal::StartRoom& room) {
   std::optional<ItemStart> next;
   ItemCandidate best;
   const net::SteadyTime now = net::Now();
@@ -107,19 +125,24 @@
     if (job->is_handing_over || job->is_dropped) {
       continue;
     }
-    const std::optional<std::size_t> item = this->NextAllowedItem(*job, now);
-    if (!item) {
+    const std::optional<std::size_t> first = job->items.NextItem(now);
+    if (!first) {
       continue;
     }
     const gateway::Route* route =
-        this->gateway.routes.Match(job->claim.host, job->items.Spec(*item).path);
+        this->gateway.routes.Match(job->claim.host, job->items.Spec(*first).path);
     const RouteState state = JobRoute::StateOf(this->gateway.routes, job->claim, route);
     this->NoteRoute(job, state);
     if (state != RouteState::kPresent) {
       continue;
     }
     const std::string service = gateway::RouteTable::PickService(*route, net::RandomFraction());
-    if (full.contains(service)) {
+    if (room.IsClosed(service)) {
+      continue;
+    }
+    const std::optional<std::size_t> item =
+        this->NextAllowedItem(*job, room.MemoryOf(service), now);
+    if (!item) {
       continue;
     }
     const ItemCandidate candidate = this->CandidateOf(*job, *item);
@@ -143,14 +166,14 @@
 }
 
 bool JobService::StartNextItem() {
-  std::set<std::string> full;  // services without a free slot
-  while (std::optional<ItemStart> next = this->NextStart(full)) {
+  internal::StartRoom room;
+  while (std::optional<ItemStart> next = this->NextStart(room)) {
     this->gateway.registry.Limits().Demand().RecordBatchWork(gateway::HashKey(next->service),
                                                              net::Now());
     const StartReason reason = this->DecideStart(*next);
     if (!IsStart(reason)) {
       this->NoteHeld(*next, reason);
-      full.insert(std::move(next->service));
+      room.Close(next->service);
       continue;
     }
     gateway::ChoiceRequest choice{next->service, {}, gateway::WorkClass::kBatch};
@@ -161,7 +184,14 @@
       this->StartItem(next->job, next->item, std::move(admitted.lease));
       return true;
     }
-    full.insert(std::move(next->service));
+    if (admitted.free_memory) {
+      const bool is_too_large = admitted.reason == gateway::NoChoice::kTooLarge;
+      this->NoteHeld(*next, is_too_large ? StartReason::kTooLarge : StartReason::kNoMemory,
+                     {choice.cost.memory_tokens, *admitted.free_memory});
+      room.Limit(next->service, *admitted.free_memory);
+    } else {
+      room.Close(next->service);
+    }
   }
   return false;
 }
--- a/src/jobs/internal/item_start_decisions.cc
+++ b/src/jobs/internal/item_start_decisions.cc
@@ -86,7 +86,7 @@
                                      net::Now());
 }
 
-void JobService::NoteHeld(const ItemStart& next, StartReason reason) {
+void JobService::NoteHeld(const ItemStart& next, StartReason reason, MemoryNeed memory) {
   internal::ItemStarts& last = this->starts[next.service];
   const std::string& job = next.job->claim.job;
   if (last.held_job == job && last.held_item == next.item && last.held_reason == reason) {
@@ -103,6 +103,8 @@
       .With("job", job)
       .With("item", next.job->items.Spec(next.item).id)
       .With("reason", NameOf(reason))
+      .With("needed_tokens", memory.needed)
+      .With("free_tokens", memory.free)
       .With("online", use.online)
       .With("batch", use.batch)
       .With("below_peak", last.policy.SlotsBelowPeak(use))
--- a/src/jobs/internal/item_tracker.cc
+++ b/src/jobs/internal/item_tracker.cc
@@ -33,8 +33,8 @@
                     [](const ItemProgress& item) { return item.phase == ItemPhase::kWaiting; }));
 }
 
-std::optional<std::size_t> ItemTracker::NextItem(net::SteadyTime now) const {
-  for (std::size_t item = 0; item < this->progress.size(); ++item) {
+std::optional<std::size_t> ItemTracker::NextItem(net::SteadyTime now, std::size_t first) const {
+  for (std::size_t item = first; item < this->progress.size(); ++item) {
     if (this->progress[item].phase == ItemPhase::kWaiting &&
         now >= this->progress[item].not_before) {
       return item;
--- a/src/jobs/internal/start_reason.cc
+++ b/src/jobs/internal/start_reason.cc
@@ -18,6 +18,10 @@
       return "high_demand";
     case StartReason::kNextPeak:
       return "next_peak";
+    case StartReason::kNoMemory:
+      return "no_memory";
+    case StartReason::kTooLarge:
+      return "too_large";
   }
   return "unknown";
 }
--- a/src/jobs/item_tracker.h
+++ b/src/jobs/item_tracker.h
@@ -26,8 +26,10 @@
   /// Returns the number of items that neither run nor have ended.
   [[nodiscard]] std::size_t WaitingItems() const;
 
-  /// Returns the first waiting item whose retry delay is over.
-  [[nodiscard]] std::optional<std::size_t> NextItem(net::SteadyTime now) const;
+  /// Returns the next waiting item whose retry delay is over.
+  /// @param first the search begins at this item.
+  [[nodiscard]] std::optional<std::size_t> NextItem(net::SteadyTime now,
+                                                    std::size_t first = 0) const;
 
   [[nodiscard]] const ItemSpec& Spec(std::size_t item) const { return this->spec.items[item]; }
   [[nodiscard]] ItemProgress& Progress(std::size_t item) { return this->progress[item]; }
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -10,11 +10,13 @@
 #include "gateway/gateway.h"
 #include "jobs/internal/item_starts.h"
 #include "jobs/internal/owned_job.h"
+#include "jobs/internal/start_room.h"
 #include "jobs/item_order.h"
 #include "jobs/item_pace.h"
 #include "jobs/job_directory.h"
 #include "jobs/job_store.h"
 #include "jobs/token_drain.h"
+#include "jobs/types/memory_need.h"
 #include "jobs/types/route_state.h"
 #include "peers/node_presence.h"
 #include "peers/peer_exchange.h"
@@ -93,11 +95,15 @@
   [[nodiscard]] bool Own(Job job);
   void Drop(const Job& job, std::string_view reason);
   void HandleRemovedClaim(const std::string& job);
-  /// Returns the most urgent item that may start. @param full services that are passed over.
+  /// Whether an item needs no more memory than this, in tokens.
+  [[nodiscard]] bool Fits(const internal::OwnedJob& job, std::size_t item, double memory,
+                          net::SteadyTime now) const;
   /// Returns the next item of a job that may be sent; puts off those with a held part.
-  [[nodiscard]] std::optional<std::size_t> NextAllowedItem(internal::OwnedJob& job,
+  /// @param memory largest need for memory of the item, in tokens.
+  [[nodiscard]] std::optional<std::size_t> NextAllowedItem(internal::OwnedJob& job, double memory,
                                                            net::SteadyTime now);
-  [[nodiscard]] std::optional<ItemStart> NextStart(const std::set<std::string>& full);
+  /// Returns the most urgent item that there is room for.
+  [[nodiscard]] std::optional<ItemStart> NextStart(const internal::StartRoom& room);
   bool StartNextItem();
   /// Adds the expected cost of an item to the choice of its endpoint.
   void AddCost(const ItemStart& start, gateway::ChoiceRequest& choice) const;
@@ -114,7 +120,7 @@
   /// Decides whether an item that could run in a free slot starts now.
   [[nodiscard]] StartReason DecideStart(const ItemStart& next);
   /// Logs and counts a decision; one that repeats the last is not logged again.
-  void NoteHeld(const ItemStart& next, StartReason reason);
+  void NoteHeld(const ItemStart& next, StartReason reason, MemoryNeed memory = {});
   void NoteStarted(const ItemStart& next, StartReason reason, const std::string& endpoint);
   void RecordPace(internal::OwnedJob& job, const internal::ItemAttempt& attempt, bool completed);
   void StartItem(const Job& job, std::size_t item, gateway::EndpointLease lease);
--- a/src/jobs/tests/item_tracker_test.cc
+++ b/src/jobs/tests/item_tracker_test.cc
@@ -23,6 +23,15 @@
   CHECK(items.IsCompleteAfter(2));
 }
 
+// Guards against a waiting item that holds up those behind it.
+TEST_CASE("the search for the next item goes on behind an item that cannot start") {
+  ItemTracker items(Spec(3), {});
+  items.Progress(1).not_before = kStart + std::chrono::seconds(1);
+  CHECK(items.NextItem(kStart) == 0);
+  CHECK(items.NextItem(kStart, 1) == 2);
+  CHECK(items.NextItem(kStart, 3) == std::nullopt);
+}
+
 TEST_CASE("results are committed in the order in which their items ended") {
   ItemTracker items(Spec(3), {});
   items.Progress(2).output = "two";
--- a/src/jobs/types/start_reason.h
+++ b/src/jobs/types/start_reason.h
@@ -14,6 +14,8 @@
   kNeeded,      ///< starts: the node's queued work needs the slot to be on time
   kHighDemand,  ///< held: online demand is high and is expected to need the slot
   kNextPeak,    ///< held: the next peak is expected to need the slot, and the work can wait
+  kNoMemory,    ///< held: no endpoint with a free slot has the memory that it needs
+  kTooLarge,    ///< held: it needs more memory than an endpoint of the service has
 };
 
 /// Tells whether an item starts.
