Look up the route of a job's items by the job, not by their paths

NextStart matched the path of the item as that of a caller's request. The longest prefix is that of the new route, which is not for batch jobs, so the job's route counted as removed. An added batch route with other services would have taken them, too.

The route is now the one that the claim names, whatever is added below it. Once it is removed, a batch route that covers its prefix takes its place, as before; without one the job is given up. Claims of versions that name no route keep the old lookup. job_items_given_up names the route.

--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -65,6 +65,7 @@
     net::LogLine("job_items_given_up")
         .With("job", job->claim.job)
         .With("reason", "route_removed")
+        .With("route", job->claim.route)
         .With("config", this->gateway.routes.Version());
     job->items.GiveUpRest();
   }
@@ -130,7 +131,7 @@
       continue;
     }
     const gateway::Route* route =
-        this->gateway.routes.Match(job->claim.host, job->items.Spec(*first).path);
+        JobRoute::Find(this->gateway.routes, job->claim, job->items.Spec(*first).path);
     const RouteState state = JobRoute::StateOf(this->gateway.routes, job->claim, route);
     this->NoteRoute(job, state);
     if (state != RouteState::kPresent) {
