Serve calls on a known job also beside a route for all paths

The form of the call counted only where no route matched or the host had a batch route.

A call that names a job of its host which the node knows is now a call on that job, whatever the routes are. Other paths of the same form go by the routes, as before.

--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -80,7 +80,10 @@
                  gateway::CancelScope&) {
             return this->job_api.Handle(std::move(request), std::move(facts));
           },
-          jobs::JobApi::kLongestCall, platform::IsJobCall),
+          jobs::JobApi::kLongestCall, platform::IsJobCall,
+          [this](const gateway::InferenceRequest& request) {
+            return this->job_api.IsOnKnownJob(request);
+          }),
       config_follower(this->MakeConfigFollower()),
       endpoint_follower(this->MakeEndpointFollower()),
       node_follower(this->MakeNodeFollower()),
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -20,10 +20,12 @@
  public:
   /// @param jobs answers calls on batch jobs.
   /// @param longest_job_call time after which every call on batch jobs has been answered.
-  /// @param is_job_call tells whether a request is a call on an existing job, whose path matches
-  ///   no route.
+  /// @param is_job_call tells whether a request has the form of a call on an existing job.
+  /// @param is_on_known_job tells whether a request of that form names a job of its host that this
+  ///   node knows.
   CallerServer(Gateway& gateway, JobHandler jobs, std::chrono::milliseconds longest_job_call,
-               std::function<bool(const InferenceRequest&)> is_job_call);
+               std::function<bool(const InferenceRequest&)> is_job_call,
+               std::function<bool(const InferenceRequest&)> is_on_known_job);
 
   /// Accepts connections until the acceptor is closed.
   net::asio::awaitable<void> Accept(net::tcp::acceptor& acceptor);
@@ -78,10 +80,15 @@
   net::asio::awaitable<void> Dispatch(CallerSession& session, CancelScope& cancel,
                                       InferenceRequest request);
 
+  /// Whether a request is a call on an existing job. Its path may match a route, too, such as one
+  /// for all paths of the host.
+  [[nodiscard]] bool IsOnJob(const InferenceRequest& request, const Route* route) const;
+
   Gateway& gateway;
   JobHandler jobs;
   std::chrono::milliseconds longest_job_call;
   std::function<bool(const InferenceRequest&)> is_job_call;
+  std::function<bool(const InferenceRequest&)> is_on_known_job;
   std::set<std::shared_ptr<CallerSession>> sessions;
   internal::OpenRequests requests;
 };
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -43,11 +43,13 @@
 }  // namespace
 
 CallerServer::CallerServer(Gateway& gateway, JobHandler jobs, milliseconds longest_job_call,
-                           std::function<bool(const InferenceRequest&)> is_job_call)
+                           std::function<bool(const InferenceRequest&)> is_job_call,
+                           std::function<bool(const InferenceRequest&)> is_on_known_job)
     : gateway(gateway),
       jobs(std::move(jobs)),
       longest_job_call(longest_job_call),
-      is_job_call(std::move(is_job_call)) {}
+      is_job_call(std::move(is_job_call)),
+      is_on_known_job(std::move(is_on_known_job)) {}
 
 awaitable<void> CallerServer::Accept(net::tcp::acceptor& acceptor) {
   while (acceptor.is_open()) {
@@ -313,6 +315,15 @@
   return accepts;
 }
 
+bool CallerServer::IsOnJob(const InferenceRequest& request, const Route* route) const {
+  if (!this->is_job_call(request)) {
+    return false;
+  }
+  // A job outlives its route, so that its host may have no batch route any more.
+  return route == nullptr || this->gateway.routes.HasBatchRoute(request.host) ||
+         this->is_on_known_job(request);
+}
+
 awaitable<void> CallerServer::Dispatch(CallerSession& session, CancelScope& cancel,
                                        InferenceRequest request) {
   RoutedRequest routed;
@@ -323,9 +334,7 @@
     co_return;
   }
   routed.route = this->gateway.routes.Match(request.host, request.path);
-  // A job outlives its route: calls on it are served where no other route takes their path.
-  const bool on_job = this->is_job_call(request) &&
-                      (routed.route == nullptr || this->gateway.routes.HasBatchRoute(request.host));
+  const bool on_job = this->IsOnJob(request, routed.route);
   if (on_job) {
     routed.route = nullptr;
   } else if (routed.route == nullptr) {
--- a/src/gateway/tests/caller_server_test.cc
+++ b/src/gateway/tests/caller_server_test.cc
@@ -33,7 +33,8 @@
       gateway,
       [](const InferenceRequest&, const RoutedRequest&, CancelScope&)
           -> asio::awaitable<net::Response> { throw std::runtime_error("out of memory"); },
-      milliseconds(1000), [](const InferenceRequest&) { return true; });
+      milliseconds(1000), [](const InferenceRequest&) { return true; },
+      [](const InferenceRequest&) { return false; });
   net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
   net::tcp::socket caller(loop);
   caller.connect(acceptor.local_endpoint());
@@ -63,7 +64,8 @@
       gateway,
       [](const InferenceRequest&, const RoutedRequest&,
          CancelScope&) -> asio::awaitable<net::Response> { co_return net::Response(); },
-      milliseconds(1000), [](const InferenceRequest&) { return true; });
+      milliseconds(1000), [](const InferenceRequest&) { return true; },
+      [](const InferenceRequest&) { return false; });
   net::tcp::acceptor acceptor(loop, {asio::ip::address_v4::loopback(), 0});
   asio::co_spawn(loop, server.Accept(acceptor), asio::detached);
   const CallerLimits defaults;
--- a/src/jobs/internal/job_api.cc
+++ b/src/jobs/internal/job_api.cc
@@ -39,6 +39,19 @@
   return !requester || claim.customer == *requester;
 }
 
+/// Returns the job that a call names; empty if it names none.
+std::string JobOf(const JobCall& call) {
+  return std::visit(
+      [](const auto& known) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(known)>, UnknownCall>) {
+          return std::string();
+        } else {
+          return known.job;
+        }
+      },
+      call);
+}
+
 net::Response JobNotFound() { return gateway::MakeErrorResponse(status::not_found, "no_such_job"); }
 
 net::Response MakeResponse(status code, const char* type, std::string body) {
@@ -86,6 +99,11 @@
   co_return gateway::MakeErrorResponse(status::method_not_allowed, "no_such_call");
 }
 
+bool JobApi::IsOnKnownJob(const gateway::InferenceRequest& request) const {
+  const Claim* claim = this->service.FindClaim(JobOf(platform::DecodeJobCall(request)));
+  return claim != nullptr && claim->host == request.host;
+}
+
 awaitable<net::Response> JobApi::Submit(gateway::InferenceRequest request,
                                         gateway::RoutedRequest routed) {
   platform::SubmissionOutcome decoded = platform::DecodeSubmission(request.message.body());
--- a/src/jobs/job_api.h
+++ b/src/jobs/job_api.h
@@ -21,6 +21,9 @@
   net::asio::awaitable<net::Response> Handle(gateway::InferenceRequest request,
                                              gateway::RoutedRequest routed);
 
+  /// Tells whether a call on an existing job names one of the call's host that this node knows.
+  [[nodiscard]] bool IsOnKnownJob(const gateway::InferenceRequest& request) const;
+
  private:
   /// Name of the customer that a call comes from: empty on an anonymous route; no value if the
   /// configuration knows no customers, so that every job may be read.
