Use no answer whose head is none

The same reader passed on 600 and 999, HTTP/1.0 answers in chunks, answers with an unknown transfer coding beside a length, and lines that begin with a blank, which it joined to the field before them.

Beast takes any three digits for a status and any HTTP/d.d for a version, lets the length decide beside a coding that it does not know, and unfolds lines. EndpointAttempt checked none of these.

net::ProblemOf now checks status (100 to 599), version and framing of each head, and HasFoldedLine the bytes before they are unfolded. Such an answer has no outcome: the request may have run, another endpoint is asked if it may be repeated, and else the caller gets 502. answer_malformed and its counter tell the problem. HttpCaller, which reads the answers of the store and of peers, checks the head, too.

Odd names other than a leading blank or tab were rejected before.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -1,10 +1,12 @@
 #include "gateway/internal/endpoint_attempt.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "gateway/gateway.h"
 #include "gateway/internal/stray_bytes.h"
 #include "gateway/limit_changes.h"
+#include "net/framing.h"
 #include "net/log_line.h"
 #include "net/socket_options.h"
 #include "net/spawn.h"
@@ -31,6 +33,13 @@
   return error == net::http::error::header_limit || error == net::http::error::buffer_overflow;
 }
 
+/// Tells whether the parser refused the bytes of an answer, rather than missed some.
+bool IsMalformed(const net::ErrorCode& error) {
+  const net::ErrorCode any_of_parser(net::http::error::bad_value);
+  return error.category() == any_of_parser.category() && !IsOverLimit(error) &&
+         error != net::http::error::end_of_stream && error != net::http::error::partial_message;
+}
+
 BodyState StateAfter(const net::ErrorCode& error) {
   if (error == net::beast::error::timeout) {
     return BodyState::kTimedOut;
@@ -150,8 +159,14 @@
   const std::shared_ptr<EndpointConnection> held = this->connection;
   this->SizeBuffer();
   held->stream.expires_at(until);
-  const auto [error, read] = co_await net::http::async_read_some(
-      held->stream, held->buffer, *this->parser, net::kAwaitWithError);
+  net::ErrorCode error;
+  std::size_t read = 0;
+  if (this->parser->is_header_done()) {
+    std::tie(error, read) = co_await net::http::async_read_some(
+        held->stream, held->buffer, *this->parser, net::kAwaitWithError);
+  } else {
+    std::tie(error, read) = co_await this->ReadHeadPart();
+  }
   this->received += read;
   if (read > 0) {
     this->open.heard_at = net::Now();
@@ -160,6 +175,49 @@
   co_return error;
 }
 
+awaitable<std::tuple<net::ErrorCode, std::size_t>> EndpointAttempt::ReadHeadPart() {
+  const std::shared_ptr<EndpointConnection> held = this->connection;
+  std::size_t parsed = 0;
+  while (true) {
+    if (held->buffer.size() > 0) {
+      const auto bytes = held->buffer.cdata();
+      if (net::HasFoldedLine({static_cast<const char*>(bytes.data()), bytes.size()})) {
+        co_return std::tuple(net::ErrorCode(net::http::error::bad_value), parsed);
+      }
+      net::ErrorCode error;
+      const std::size_t used = this->parser->put(bytes, error);
+      held->buffer.consume(used);
+      parsed += used;
+      if (error != net::http::error::need_more) {
+        co_return std::tuple(error, parsed);
+      }
+    }
+    const std::size_t space =
+        std::min(kSmallReadBytes, held->buffer.max_size() - held->buffer.size());
+    if (space == 0) {
+      co_return std::tuple(net::ErrorCode(net::http::error::buffer_overflow), parsed);
+    }
+    const auto [error, read] =
+        co_await held->stream.async_read_some(held->buffer.prepare(space), net::kAwaitWithError);
+    held->buffer.commit(read);
+    if (error) {
+      co_return std::tuple(error, parsed);
+    }
+  }
+}
+
+void EndpointAttempt::ReportMalformed(std::string_view problem) {
+  net::LogLine("answer_malformed")
+      .With("request", this->request_id)
+      .With("endpoint", this->endpoint->entry.id)
+      .With("problem", problem)
+      .With("status", this->parser->is_header_done() ? this->parser->get().result_int() : 0)
+      .With("received", this->received);
+  this->gateway.metrics
+      .GetCounter("gateway_answers_malformed_total", {{"problem", std::string(problem)}})
+      .Add();
+}
+
 void EndpointAttempt::SizeBuffer() {
   net::beast::flat_buffer& buffer = this->connection->buffer;
   if (this->received <= kLargeAnswerBytes) {
@@ -271,8 +329,15 @@
   while (other_answers <= kMaxOtherAnswers) {
     const net::ErrorCode error = co_await this->ReadNextHead(is_head_request, until);
     if (error) {
+      if (IsMalformed(error)) {
+        this->ReportMalformed("syntax");
+      }
       co_return this->FailureOf(error);
     }
+    if (const auto problem = net::ProblemOf(this->parser->get().base())) {
+      this->ReportMalformed(net::NameOf(*problem));
+      co_return AttemptFailure::kUnknown;
+    }
     const bool is_interim = this->parser->get().result_int() / 100 == 1;
     if (is_interim && ++interim_heads > AnswerLimits::kMaxInterimHeads) {
       this->AbortOverLimit(AnswerBound::kInterimHeads, interim_heads);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -3,6 +3,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <variant>
 
 #include "gateway/cancel_scope.h"
@@ -120,6 +122,11 @@
   /// Reads available bytes of the answer. All reads of an answer go through here: an answer whose
   /// bytes are always there would otherwise outlast the stream's own time limit.
   net::asio::awaitable<net::ErrorCode> ReadSome(net::SteadyTime until);
+  /// Reads until the parser has the head or refuses it; checks the bytes that it does not check.
+  /// @return the error, and the number of bytes that were parsed.
+  net::asio::awaitable<std::tuple<net::ErrorCode, std::size_t>> ReadHeadPart();
+  /// Logs and counts an answer that must not be used. @param problem of its head.
+  void ReportMalformed(std::string_view problem);
   net::asio::awaitable<net::ErrorCode> ReadNextHead(bool is_head_request, net::SteadyTime until);
   [[nodiscard]] AttemptFailure FailureOf(const net::ErrorCode& error);
   /// Whether no byte of an answer was read.
--- a/src/net/framing.h
+++ b/src/net/framing.h
@@ -1,7 +1,10 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
+#include <string_view>
 
+#include "net/head_problem.h"
 #include "net/http_types.h"
 
 namespace lentilhead::net {
@@ -10,8 +13,18 @@
 /// extensions, or the trailer. Beast's parser takes each only when it is complete.
 inline constexpr std::size_t kMaxFramingBytes = 128 << 10;
 
-/// Tells whether two readers may disagree on where the body of a request ends: its headers state
+/// Tells whether two readers may disagree on where the body of a message ends: its headers state
 /// both a length and a transfer coding, or another coding than chunks.
-[[nodiscard]] bool IsBodyAmbiguous(const Request& request);
+/// @param headers of a request or of an answer.
+[[nodiscard]] bool IsBodyAmbiguous(const http::fields& headers);
+
+/// Checks what the parser leaves unchecked in the head of an answer.
+/// @return why the answer must not be used; no value if it may be.
+[[nodiscard]] std::optional<HeadProblem> ProblemOf(const http::response_header<>& head);
+
+/// Tells whether a header in the bytes of a head continues on another line. RFC 9112 lets a
+/// gateway discard such an answer; the parser would add the line to the value before it.
+/// @param bytes of the head, not yet parsed; what follows the head is not looked at.
+[[nodiscard]] bool HasFoldedLine(std::string_view bytes);
 
 }  // namespace lentilhead::net
--- a/src/net/http_caller.cc
+++ b/src/net/http_caller.cc
@@ -92,6 +92,9 @@
     co_return CallError::kNoAnswer;
   }
   entry.reset();
+  if (ProblemOf(parser.get().base())) {
+    co_return CallError::kNoAnswer;
+  }
   Response response = parser.release();
   if (response.keep_alive()) {
     this->ReturnIdle(std::move(connection), server);
