Trust the end of an answer without framing only once its request is written

The request is written by a task beside the reader. Linux tells a reset to the first call on the socket; where that is the write, the next read returns an end in good order, which StateAtEnd took for that of the body.

Such an end now counts only once the request has been written; the attempt waits for the write, up to the time limit of the read. If the write fails or does not end, the answer is broken off. An endpoint that half-closes and reads on is passed on as before; one that never reads the rest is not trusted, as a reset cannot be told from it. answer_end_unproven names the state of the write. The tunnel of a peer, which ended in good order if its own write got the error, resets; by reading, no test.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -64,7 +64,8 @@
   held.Set(message->body().capacity());
   const auto [error, written] =
       co_await net::http::async_write(connection->stream, *message, net::kAwaitWithError);
-  connection->is_written = !error;
+  connection->write = error ? RequestWrite::kFailed : RequestWrite::kDone;
+  connection->write_ended.cancel();
 }
 
 }  // namespace
@@ -415,7 +416,8 @@
     ReportStrayBytes(this->gateway.metrics, *this->connection, StrayPlace::kAfterAnswer, stray);
   }
   const bool may_stay_open = this->parser->keep_alive() && !this->parser->need_eof() &&
-                             this->connection->is_written && stray == 0 && !this->through;
+                             this->connection->write == RequestWrite::kDone && stray == 0 &&
+                             !this->through;
   if (may_stay_open) {
     this->gateway.idle_connections.Keep(std::move(this->connection), net::Now());
   }
@@ -439,8 +441,35 @@
   return progress;
 }
 
+awaitable<bool> EndpointAttempt::IsRequestWritten(net::SteadyTime until) {
+  const std::shared_ptr<EndpointConnection> held = this->connection;
+  if (held->write == RequestWrite::kPending) {
+    held->write_ended.expires_at(until);
+    co_await held->write_ended.async_wait(net::kAwaitWithError);
+  }
+  if (held->write == RequestWrite::kDone) {
+    co_return true;
+  }
+  net::LogLine("answer_end_unproven")
+      .With("request", this->request_id)
+      .With("endpoint", this->endpoint->entry.id)
+      .With("write", NameOf(held->write))
+      .With("received", this->received);
+  this->gateway.metrics.GetCounter("gateway_answer_ends_unproven_total").Add();
+  co_return false;
+}
+
 awaitable<BodyState> EndpointAttempt::StateAtEnd(net::SteadyTime until) {
-  if (!this->through || this->Framing() != AnswerFraming::kConnection) {
+  if (this->Framing() != AnswerFraming::kConnection) {
+    co_return BodyState::kEnd;
+  }
+  // A reset is told to the first call on the socket only. If that is the write of the request, the
+  // read sees an end in good order.
+  const bool is_written = co_await this->IsRequestWritten(until);
+  if (!is_written) {
+    co_return BodyState::kBroken;
+  }
+  if (!this->through) {
     co_return BodyState::kEnd;
   }
   const bool is_alive = co_await this->gateway.paths.IsAlive(*this->through, until);
@@ -470,8 +499,8 @@
     }
   }
   if (this->parser->is_done()) {
-    this->Finish();
     piece.state = co_await this->StateAtEnd(until);
+    this->Finish();
   }
   co_return piece;
 }
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -142,8 +142,11 @@
   void RecordIfLeaving(const EndpointAnswer& answer);
   void RecordLimit(const EndpointAnswer& answer);
   [[nodiscard]] AnswerFraming Framing() const;
-  /// State of a body that was received up to its end. The end of a connection through a peer that
-  /// has died is not that of the answer.
+  /// Waits for the end of the request's write; logs and counts a request that is not written.
+  /// @param until end of the wait. @return whether all of it was written.
+  net::asio::awaitable<bool> IsRequestWritten(net::SteadyTime until);
+  /// State of a body that was received up to its end. Without framing, the end of a connection that
+  /// was reset, or that led through a peer that has died, is not that of the answer.
   net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
   /// Adapts the size of the next read to the answer and to the memory budget.
   void SizeBuffer();
--- a/src/gateway/internal/endpoint_connection.h
+++ b/src/gateway/internal/endpoint_connection.h
@@ -6,6 +6,7 @@
 
 #include "gateway/types/answer_limits.h"
 #include "gateway/types/endpoint_state.h"
+#include "gateway/types/request_write.h"
 #include "net/http_types.h"
 
 namespace lentilhead::gateway::internal {
@@ -14,7 +15,7 @@
 struct EndpointConnection {
   EndpointConnection(const net::asio::any_io_executor& executor,
                      std::shared_ptr<EndpointState> endpoint)
-      : stream(executor), endpoint(std::move(endpoint)) {}
+      : stream(executor), endpoint(std::move(endpoint)), write_ended(executor) {}
   EndpointConnection(const EndpointConnection&) = delete;
   EndpointConnection& operator=(const EndpointConnection&) = delete;
 
@@ -22,7 +23,8 @@
   net::beast::flat_buffer buffer{AnswerLimits::kMaxFramingBytes};
   std::shared_ptr<EndpointState> endpoint;
   std::optional<net::asio::ip::address> through;  ///< peer that the connection leads through
-  bool is_written = false;                        ///< the request has been written completely
+  RequestWrite write = RequestWrite::kPending;    ///< of the request
+  net::asio::steady_timer write_ended;            ///< cancelled at the end of the write
   std::string request;                            ///< id of the request
   net::SteadyTime sent_at;                        ///< when the request was sent
   net::SteadyTime idle_since;                     ///< end of the answer
--- a/src/relay/internal/tunnel_server.cc
+++ b/src/relay/internal/tunnel_server.cc
@@ -86,6 +86,7 @@
   Count count;
   net::HeldBytes held;
   bool is_ended = false;
+  bool is_writing_to_endpoint = false;
 };
 
 TunnelServer::TunnelServer(net::asio::any_io_executor executor, net::asio::ip::address own,
@@ -166,14 +167,20 @@
       failed = is_end ? net::ErrorCode() : read_error;
       break;
     }
+    tunnel->is_writing_to_endpoint = tunnel->is_writing_to_endpoint || to_endpoint;
     const auto [write_error, written] = co_await net::asio::async_write(
         sink.socket(), net::asio::buffer(bytes.data(), read), net::kAwaitWithError);
+    if (to_endpoint) {
+      tunnel->is_writing_to_endpoint = false;
+    }
     failed = write_error;
   }
   if (std::exchange(tunnel->is_ended, true)) {
     co_return;
   }
-  if (is_end) {
+  // A reset by the endpoint is told to a write in progress, and then looks like an end here.
+  const bool may_be_reset = !to_endpoint && tunnel->is_writing_to_endpoint;
+  if (is_end && !may_be_reset) {
     // Everything read was written, so the other side sees the bytes and then the end.
     tunnel->node.close();
     tunnel->endpoint.close();
