Believe the end of an answer without framing only while its endpoint is alive

The kernel ends the connections of a killed process in good order, which StateAtEnd took for the end of the answer.

The end now counts only if the endpoint accepts a connection after it. One that drops new connections is believed while an idle connection to it is open or it goes on with other answers; an answer through a peer is checked through a peer. answer_end_unproven names the cause.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -84,6 +84,12 @@
   /// @param until time limit.
   net::asio::awaitable<bool> IsAlive(const Address& peer, net::SteadyTime until) const;
 
+  /// Tells whether an endpoint accepts a connection through a peer and does not drop it at once.
+  /// @param drop_limit time within which it would be dropped. @return false also if no peer can
+  /// tell.
+  net::asio::awaitable<bool> IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
+                                                   std::chrono::milliseconds drop_limit);
+
   /// Records bytes of an answer.
   void RecordAnswer() { this->evidence.RecordAnswer(net::Now()); }
 
@@ -91,6 +97,9 @@
   void Watch(OpenAttempt& attempt) { this->attempts.insert(&attempt); }
   void Forget(OpenAttempt& attempt) { this->attempts.erase(&attempt); }
 
+  /// Whether bytes of an answer of an endpoint were read after a time.
+  [[nodiscard]] bool WasHeardSince(std::uint32_t key, net::SteadyTime since) const;
+
   /// Decides whether a peer is connected to an address.
   [[nodiscard]] relay::TunnelPermit PermitTunnel(const Address& caller,
                                                  const net::tcp::endpoint& target) const;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "gateway/gateway.h"
+#include "gateway/internal/endpoint_check.h"
 #include "gateway/internal/stray_bytes.h"
 #include "gateway/limit_changes.h"
 #include "net/framing.h"
@@ -447,16 +448,19 @@
     held->write_ended.expires_at(until);
     co_await held->write_ended.async_wait(net::kAwaitWithError);
   }
-  if (held->write == RequestWrite::kDone) {
-    co_return true;
-  }
+  co_return held->write == RequestWrite::kDone;
+}
+
+void EndpointAttempt::ReportUnprovenEnd(std::string_view cause) {
   net::LogLine("answer_end_unproven")
       .With("request", this->request_id)
       .With("endpoint", this->endpoint->entry.id)
-      .With("write", NameOf(held->write))
+      .With("cause", cause)
+      .With("write", NameOf(this->connection->write))
       .With("received", this->received);
-  this->gateway.metrics.GetCounter("gateway_answer_ends_unproven_total").Add();
-  co_return false;
+  this->gateway.metrics
+      .GetCounter("gateway_answer_ends_unproven_total", {{"cause", std::string(cause)}})
+      .Add();
 }
 
 awaitable<BodyState> EndpointAttempt::StateAtEnd(net::SteadyTime until) {
@@ -467,13 +471,20 @@
   // read sees an end in good order.
   const bool is_written = co_await this->IsRequestWritten(until);
   if (!is_written) {
+    this->ReportUnprovenEnd("request_unwritten");
     co_return BodyState::kBroken;
   }
-  if (!this->through) {
-    co_return BodyState::kEnd;
+  // The system ends the connections of a killed process in good order, too.
+  const bool is_alive = co_await EndpointCheck::IsAlive(this->gateway, this->connection);
+  // An endpoint that leaves may accept no more connections while it finishes its answers. One that
+  // can be had elsewhere needs no such trust.
+  const bool is_leaving = this->endpoint->is_leaving || this->endpoint->entry.is_draining;
+  const bool is_trusted = is_alive || (is_leaving && !this->open.may_repeat);
+  if (!is_trusted) {
+    this->ReportUnprovenEnd("endpoint_lost");
+    co_return BodyState::kBroken;
   }
-  const bool is_alive = co_await this->gateway.paths.IsAlive(*this->through, until);
-  co_return is_alive ? BodyState::kEnd : BodyState::kBroken;
+  co_return BodyState::kEnd;
 }
 
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -145,8 +145,10 @@
   /// Waits for the end of the request's write; logs and counts a request that is not written.
   /// @param until end of the wait. @return whether all of it was written.
   net::asio::awaitable<bool> IsRequestWritten(net::SteadyTime until);
+  /// Logs and counts an answer without framing whose end is not believed.
+  void ReportUnprovenEnd(std::string_view cause);
   /// State of a body that was received up to its end. Without framing, the end of a connection that
-  /// was reset, or that led through a peer that has died, is not that of the answer.
+  /// was reset, or whose endpoint or peer has died, is not that of the answer.
   net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
   /// Adapts the size of the next read to the answer and to the memory budget.
   void SizeBuffer();
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -9,26 +9,44 @@
 
 namespace {
 
+using net::asio::awaitable;
 using std::chrono::milliseconds;
 
 // Far above a round trip; the caller of the request waits for the check.
 constexpr milliseconds kConnectLimit{50};
 // A process that accepts connections for an endpoint that is down drops them within a round trip.
 constexpr milliseconds kDropLimit{20};
+// The first packet of a connection may be lost; the system sends the next one only after a second.
+constexpr int kMaxConnects = 3;
+// An endpoint that drops new connections may still send the events of other answers.
+constexpr milliseconds kDropPause{80};
+
+/// Connects from the address of this node, as requests do: a cut may concern only this address.
+awaitable<net::ErrorCode> Connect(Gateway& gateway, net::tcp::endpoint address,
+                                  net::beast::tcp_stream& stream) {
+  net::BindSource(stream.socket(), gateway.paths.OwnAddress());
+  stream.expires_after(kConnectLimit);
+  const auto [error] = co_await stream.async_connect(address, net::kAwaitWithError);
+  co_return error;
+}
+
+/// Tells whether the other side drops a connection that was just opened.
+awaitable<bool> IsDropped(net::beast::tcp_stream& stream) {
+  std::array<char, 1> byte{};
+  stream.expires_after(kDropLimit);
+  const auto [error, read] =
+      co_await stream.async_read_some(net::asio::buffer(byte), net::kAwaitWithError);
+  co_return error&& error != net::beast::error::timeout;
+}
 
 }  // namespace
 
-net::asio::awaitable<EndpointFate> EndpointCheck::Observe(Gateway& gateway,
-                                                          const EndpointState& endpoint) {
-  const net::tcp::endpoint address = endpoint.entry.address;
+awaitable<EndpointFate> EndpointCheck::Observe(Gateway& gateway, const EndpointState& endpoint) {
   const EndpointEntry entry = endpoint.entry;
   const std::uint32_t key = endpoint.key;
   const net::SteadyTime started = net::Now();
   net::beast::tcp_stream stream(gateway.executor);
-  // From the address of this node, as requests connect: a cut may concern only this address.
-  net::BindSource(stream.socket(), gateway.paths.OwnAddress());
-  stream.expires_after(kConnectLimit);
-  const auto [connect_error] = co_await stream.async_connect(address, net::kAwaitWithError);
+  const net::ErrorCode connect_error = co_await Connect(gateway, endpoint.entry.address, stream);
   if (connect_error) {
     const bool is_cut_off = co_await gateway.paths.IsReachedByPeer(entry, key, started);
     if (is_cut_off) {
@@ -40,11 +58,7 @@
   if (gateway.idle_connections.IsOpen(endpoint.incarnation)) {
     co_return EndpointFate::kAlive;
   }
-  std::array<char, 1> byte{};
-  stream.expires_after(kDropLimit);
-  const auto [read_error, read] =
-      co_await stream.async_read_some(net::asio::buffer(byte), net::kAwaitWithError);
-  const bool is_dropped = read_error && read_error != net::beast::error::timeout;
+  const bool is_dropped = co_await IsDropped(stream);
   if (is_dropped) {
     const bool is_cut_off = co_await gateway.paths.IsReachedByPeer(entry, key, started);
     if (is_cut_off) {
@@ -54,4 +68,34 @@
   co_return is_dropped ? EndpointFate::kEnded : EndpointFate::kUnknown;
 }
 
+awaitable<bool> EndpointCheck::IsAlive(Gateway& gateway,
+                                       std::shared_ptr<const EndpointConnection> connection) {
+  const std::shared_ptr<EndpointState> endpoint = connection->endpoint;
+  if (connection->through) {
+    const bool is_peer_alive =
+        co_await gateway.paths.IsAlive(*connection->through, net::Now() + kConnectLimit);
+    co_return is_peer_alive&& co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
+  }
+  const net::SteadyTime ended_at = net::Now();
+  net::ErrorCode error = net::beast::error::timeout;
+  for (int connects = 0; connects < kMaxConnects && error != net::asio::error::connection_refused;
+       ++connects) {
+    net::beast::tcp_stream stream(gateway.executor);
+    error = co_await Connect(gateway, endpoint->entry.address, stream);
+    if (error) {
+      continue;
+    }
+    const bool is_dropped = co_await IsDropped(stream);
+    if (!is_dropped || gateway.idle_connections.IsOpen(endpoint->incarnation) ||
+        gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
+      co_return true;
+    }
+    net::asio::steady_timer pause(gateway.executor, kDropPause);
+    co_await pause.async_wait(net::kAwaitWithError);
+  }
+  // Where this node is cut off since, a peer may still tell.
+  co_return error == net::beast::error::timeout&& co_await gateway.paths.IsAcceptedThroughPeer(
+                         endpoint, kDropLimit);
+}
+
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/internal/endpoint_connection.h"
 #include "gateway/types/endpoint_fate.h"
 #include "net/http_types.h"
 
@@ -18,6 +19,14 @@
   /// If it can't be opened, asks a peer. An open idle connection shows that the endpoint is alive.
   [[nodiscard]] static net::asio::awaitable<EndpointFate> Observe(Gateway& gateway,
                                                                   const EndpointState& endpoint);
+
+  /// Tells whether an endpoint is alive after a connection to it has ended in good order. One that
+  /// drops new connections counts as alive if an idle connection to it is open, or if it goes on
+  /// with other answers.
+  /// @param connection ended; the check is made directly or through a peer, as it was opened.
+  /// @return false also if this can't be told.
+  [[nodiscard]] static net::asio::awaitable<bool> IsAlive(
+      Gateway& gateway, std::shared_ptr<const EndpointConnection> connection);
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -100,6 +100,12 @@
   co_return this->client&& co_await this->client->IsAlive(this->executor, peer, until);
 }
 
+bool EndpointPaths::WasHeardSince(std::uint32_t key, net::SteadyTime since) const {
+  return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const OpenAttempt* attempt) {
+    return attempt->key == key && attempt->heard_at > since;
+  });
+}
+
 void EndpointPaths::Count(std::string_view outcome) {
   this->metrics.GetCounter("gateway_relay_connections_total", {{"outcome", std::string(outcome)}})
       .Add();
@@ -191,15 +197,23 @@
   auto endpoint = std::make_shared<EndpointState>();
   endpoint->entry = std::move(entry);
   endpoint->key = key;
+  // The caller of a request waits for this, so a drop that comes late is left to the probes.
+  co_return co_await this->IsAcceptedThroughPeer(std::move(endpoint), relay::DropLimit::kMin);
+}
+
+awaitable<bool> EndpointPaths::IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
+                                                     milliseconds drop_limit) {
+  if (!this->peers) {
+    co_return false;
+  }
   auto connection = std::make_shared<internal::EndpointConnection>(this->executor, endpoint);
   const std::optional<bool> reached =
       co_await this->OpenThroughPeer(connection, net::Now() + 2 * kTunnelLimit, nullptr);
   if (!reached.value_or(false)) {
     co_return false;
   }
-  // The caller of a request waits for this, so a drop that comes late is left to the probes.
-  const bool is_dropped = co_await this->IsDropped(connection->stream, relay::DropLimit::kMin);
-  this->evidence.RecordThroughPeer(key, !is_dropped, net::Now());
+  const bool is_dropped = co_await this->IsDropped(connection->stream, drop_limit);
+  this->evidence.RecordThroughPeer(endpoint->key, !is_dropped, net::Now());
   this->ReportChanges();
   co_return !is_dropped;
 }
@@ -219,15 +233,7 @@
 
 awaitable<void> EndpointPaths::ProbeThroughPeer(std::shared_ptr<EndpointState> endpoint) {
   const OpenProbe open(this->open_probes);
-  auto connection = std::make_shared<internal::EndpointConnection>(this->executor, endpoint);
-  const std::optional<bool> reached =
-      co_await this->OpenThroughPeer(connection, net::Now() + 2 * kTunnelLimit, nullptr);
-  if (reached.value_or(false)) {
-    const bool is_dropped =
-        co_await this->IsDropped(connection->stream, this->drop_limit.Current(net::Now()));
-    this->evidence.RecordThroughPeer(endpoint->key, !is_dropped, net::Now());
-    this->ReportChanges();
-  }
+  co_await this->IsAcceptedThroughPeer(endpoint, this->drop_limit.Current(net::Now()));
 }
 
 std::shared_ptr<EndpointState> EndpointPaths::Find(std::uint32_t key) const {
