Tell a 421 for want of weights from one of another endpoint

Each 421 counted as one of another endpoint at the address, so that the endpoint was unreachable for 10 s at all nodes, and items start at healthy endpoints only. The answer is now judged with what the request demanded: one that names the endpoint itself, or nobody where the request asks for a version, is about the weights and says nothing of the endpoint.

The class on related paths: online requests marked endpoints in the same way, and are tested; probes name no version, by reading.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -126,6 +126,7 @@
     this->Abort();
     co_return AttemptFailure::kNotSent;
   }
+  this->target = platform::TargetOf(message);
   const bool is_head_request = message.method() == net::http::verb::head;
   const std::shared_ptr<EndpointConnection> held = this->connection;
   this->cancel.OnCancel([held] { held->stream.close(); });
@@ -350,7 +351,7 @@
       continue;
     }
     AnswerHead answer{this->parser->get().base(), {}, this->Framing()};
-    answer.decoded = platform::DecodeAnswer(answer.head);
+    answer.decoded = platform::DecodeAnswer(answer.head, this->target);
     this->RecordIfLeaving(answer.decoded);
     const bool is_success = answer.head.result_int() / 100 == 2;
     const std::string& answered = answer.decoded.request_id;
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -13,6 +13,7 @@
 #include "gateway/types/answer_bound.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
+#include "gateway/types/attempt_target.h"
 #include "gateway/types/body_progress.h"
 #include "gateway/types/connect_outcome.h"
 #include "gateway/types/endpoint_answer.h"
@@ -163,6 +164,7 @@
   std::unique_ptr<Parser> parser;
   net::HeldBytes held;  ///< what was read of the answer and not handed on
   std::string request_id;
+  AttemptTarget target;
   std::optional<net::asio::ip::address> through;
   OpenAttempt open;             ///< watched from the time that the request is sent
   bool is_interrupted = false;  ///< this node ended the read in progress
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -161,6 +161,9 @@
     EndpointFeedback::RecordReplacement(lease.Endpoint(), net::Now());
     co_return Step::kRetry;
   }
+  if (answer.decoded.other_weights) {
+    co_return Step::kRetry;
+  }
   EndpointFeedback::RecordFull(lease.Endpoint(), net::Now());
   const std::optional<ReportedLoad>& load = answer.decoded.load;
   const bool had_free_slot = load && load->running + load->waiting < lease.Endpoint().entry.slots;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -400,7 +400,7 @@
   }
   const int code = static_cast<int>(answer.head.result_int());
   const bool is_refusal = code == 503 || code == 429 || code == 421;
-  if (answer.decoded.other_instance || (answer.decoded.not_executed && is_refusal)) {
+  if (code == 421 || (answer.decoded.not_executed && is_refusal)) {
     co_return co_await this->AfterNotExecuted(lease, std::move(answer), attempt);
   }
   this->stage = AttemptStage::kBegun;
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -75,6 +75,8 @@
       return "impossible";
     case ItemRunOutcome::kOverLimit:
       return "over_limit";
+    case ItemRunOutcome::kOtherWeights:
+      return "other_weights";
   }
   return "unknown";
 }
@@ -197,6 +199,9 @@
   if (answer.decoded.other_instance) {
     EndpointFeedback::RecordReplacement(this->lease.Endpoint(), net::Now());
   }
+  if (answer.decoded.other_weights) {
+    co_return ItemRunOutcome::kOtherWeights;
+  }
   if (answer.decoded.not_executed || answer.decoded.other_instance ||
       rest.state != BodyState::kEnd) {
     co_return ItemRunOutcome::kResume;
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -21,6 +21,7 @@
   kRunFailed,         ///< the endpoint reports that the run failed
   kPermanentFailure,  ///< the endpoint reports that the item can never be completed
   kOverLimit,         ///< the output is too large; the next attempt begins anew
+  kOtherWeights,      ///< the endpoint does not have the weights that the item asks for
 };
 
 /// Name of an outcome in logs.
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -22,6 +22,8 @@
 // Between checks whether an item may be sent, while a part of its prompt is held back.
 constexpr milliseconds kHeldItemPause{1000};
 constexpr milliseconds kRetryDelay{250};  // after an attempt that did not complete the item
+// After an endpoint lacked the weights that the item asks for. New weights take seconds to load.
+constexpr milliseconds kOtherWeightsDelay{2000};
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
@@ -251,7 +253,8 @@
           {};  // save at once: failures count towards the limit at the next owner, too
     }
   } else if (!attempt->cancel.IsCancelled()) {
-    progress.not_before = net::Now() + kRetryDelay;
+    progress.not_before =
+        net::Now() + (outcome == ItemRunOutcome::kOtherWeights ? kOtherWeightsDelay : kRetryDelay);
   }
   if (BeginsAnew(outcome)) {
     progress.output.clear();
