Judge the error of an item by its status, however long its body

ItemRun::ReadFailure looked at the status only after the whole body, of which it read 64 KiB, and counted longer ones as failures of the endpoint. The body is now read without being kept, up to 16 MiB. A 422 or 500 without its whole body counts as a failed run, so that errors that are broken off do not repeat without end, and one endpoint in trouble does not give an item up.

--- a/src/gateway/types/answer_limits.h
+++ b/src/gateway/types/answer_limits.h
@@ -19,7 +19,9 @@
   static constexpr std::size_t kMaxEventBytes = 1 << 20;
   /// Above this, an encoded result does not fit into one transaction of the store.
   static constexpr std::size_t kMaxItemOutputBytes = 500 << 10;
-  static constexpr std::size_t kMaxErrorBodyBytes = 64 << 10;
+  /// Bytes of an answer that reports an error to a batch job. Above the largest request, which an
+  /// endpoint may repeat in it; none of it is kept.
+  static constexpr std::size_t kMaxErrorBodyBytes = 16 << 20;
   /// Above this, a new connection costs less than the rest of an answer that nobody needs.
   static constexpr std::size_t kMaxDiscardedBytes = 256 << 10;
   /// As kMaxDiscardedBytes, for the time to read such a rest.
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -186,14 +186,24 @@
   }
 }
 
-awaitable<ItemRunOutcome> ItemRun::ReadFailure(EndpointAttempt& attempt, const AnswerHead& answer) {
-  BodyPiece rest = co_await attempt.ReadRest(gateway::AnswerLimits::kMaxErrorBodyBytes,
-                                             net::Now() + kItemEventTimeout);
-  if (rest.state == BodyState::kMore) {
-    attempt.AbortOverLimit(gateway::AnswerBound::kErrorBody, rest.bytes.size());
-    rest.state = BodyState::kOverLimit;
+awaitable<BodyState> ItemRun::SkipErrorBody(EndpointAttempt& attempt) {
+  const net::SteadyTime until = net::Now() + kItemEventTimeout;
+  BodyPiece piece;
+  std::size_t bytes = 0;
+  while (piece.state == BodyState::kMore) {
+    piece = co_await attempt.ReadPiece(until);
+    bytes += piece.received;
+    if (piece.state == BodyState::kMore && bytes > gateway::AnswerLimits::kMaxErrorBodyBytes) {
+      attempt.AbortOverLimit(gateway::AnswerBound::kErrorBody, bytes);
+      piece.state = BodyState::kOverLimit;
+    }
   }
-  if (rest.state == BodyState::kOverLimit) {
+  co_return piece.state;
+}
+
+awaitable<ItemRunOutcome> ItemRun::ReadFailure(EndpointAttempt& attempt, const AnswerHead& answer) {
+  const BodyState body = co_await this->SkipErrorBody(attempt);
+  if (body == BodyState::kOverLimit) {
     this->RecordFailure(false);
   }
   if (answer.decoded.other_instance) {
@@ -202,15 +212,16 @@
   if (answer.decoded.other_weights) {
     co_return ItemRunOutcome::kOtherWeights;
   }
-  if (answer.decoded.not_executed || answer.decoded.other_instance ||
-      rest.state != BodyState::kEnd) {
-    co_return ItemRunOutcome::kResume;
-  }
   const unsigned code = answer.head.result_int();
-  if (code == 422) {
-    co_return ItemRunOutcome::kPermanentFailure;
+  const bool has_run = !answer.decoded.not_executed && !answer.decoded.other_instance;
+  if (!has_run || (code != 422 && code != 500)) {
+    co_return ItemRunOutcome::kResume;
   }
-  co_return code == 500 ? ItemRunOutcome::kRunFailed : ItemRunOutcome::kResume;
+  // Without its whole body, an answer may be one of an endpoint in trouble; it counts as one of
+  // several failed runs that it takes to give the item up.
+  const bool is_whole = body == BodyState::kEnd;
+  co_return code == 422 && is_whole ? ItemRunOutcome::kPermanentFailure
+                                    : ItemRunOutcome::kRunFailed;
 }
 
 awaitable<ItemRunOutcome> ItemRun::Attempt(const Claim& claim) {
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -57,6 +57,10 @@
                                                   gateway::internal::WorkMeter& work);
   net::asio::awaitable<ItemRunOutcome> ReadEvents(gateway::internal::AnswerStream stream,
                                                   gateway::internal::WorkMeter& work);
+  /// Reads the body of an answer that reports an error, without keeping it.
+  /// @return its state; BodyState::kOverLimit for one that is too long.
+  static net::asio::awaitable<gateway::internal::BodyState> SkipErrorBody(
+      gateway::internal::EndpointAttempt& attempt);
   net::asio::awaitable<ItemRunOutcome> ReadFailure(gateway::internal::EndpointAttempt& attempt,
                                                    const gateway::internal::AnswerHead& answer);
   void RecordFailure(bool unreachable);
