Put a lost connection down to its endpoint only if the node reaches others

EndpointCheck asked one peer whether the endpoint is alive, and took a connection dropped there for its end. A peer that is cut off, too, so confirmed the loss. Up to three peers are asked now, and an endpoint counts as ended only if the node reaches one of the four others that answered last.

The class on related paths: online requests and items share the check; probes of paths repeat and ask one peer, as before.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -85,6 +85,7 @@
   net::asio::awaitable<bool> IsAlive(const Address& peer, net::SteadyTime until) const;
 
   /// Tells whether an endpoint accepts a connection through a peer and does not drop it at once.
+  /// Asks several peers before it says no, as some may be cut off like this node.
   /// @param drop_limit time within which it would be dropped. @return false also if no peer can
   /// tell.
   net::asio::awaitable<bool> IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
@@ -112,10 +113,17 @@
 
  private:
   /// Opens a connection through one of several peers.
+  /// @param tried peers that are not asked.
   /// @return no value if no peer could tell whether the endpoint is reachable.
   net::asio::awaitable<std::optional<bool>> OpenThroughPeer(Connection connection,
                                                             net::SteadyTime until,
-                                                            CancelScope* cancel);
+                                                            CancelScope* cancel,
+                                                            std::vector<Address> tried = {});
+  /// As IsAcceptedThroughPeer(), but asks one peer. @param tried peers that are not asked; gets the
+  /// peer through which the connection was dropped. @return no value if no peer could tell.
+  net::asio::awaitable<std::optional<bool>> TryThroughPeer(std::shared_ptr<EndpointState> endpoint,
+                                                           std::chrono::milliseconds drop_limit,
+                                                           std::vector<Address>& tried);
   /// Tells whether a connection is dropped soon after it was opened. Ends the connection.
   net::asio::awaitable<bool> IsDropped(net::beast::tcp_stream& stream,
                                        std::chrono::milliseconds limit);
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -1,6 +1,9 @@
 #include "gateway/internal/endpoint_check.h"
 
+#include <algorithm>
 #include <array>
+#include <functional>
+#include <vector>
 
 #include "gateway/gateway.h"
 #include "net/socket_options.h"
@@ -18,6 +21,7 @@
 constexpr milliseconds kDropLimit{20};
 // The first packet of a connection may be lost; the system sends the next one only after a second.
 constexpr int kMaxConnects = 3;
+constexpr std::size_t kMaxOthers = 4;
 // An endpoint that drops new connections may still send the events of other answers.
 constexpr milliseconds kDropPause{80};
 
@@ -39,6 +43,46 @@
   co_return error&& error != net::beast::error::timeout;
 }
 
+/// Chooses listed endpoints of any service other than one. Those that answered last are the least
+/// likely to have ended as well.
+std::vector<net::tcp::endpoint> ChooseOthers(const Gateway& gateway, std::uint32_t key) {
+  std::vector<const EndpointState*> others;
+  for (const auto& [id, state] : gateway.registry.All()) {
+    if (state->key != key && state->listed && !state->is_leaving && !state->entry.is_draining) {
+      others.push_back(state.get());
+    }
+  }
+  const std::size_t count = std::min(kMaxOthers, others.size());
+  std::ranges::partial_sort(others, others.begin() + static_cast<std::ptrdiff_t>(count),
+                            std::greater(), &EndpointState::last_answer);
+  std::vector<net::tcp::endpoint> chosen;
+  for (std::size_t index = 0; index < count; ++index) {
+    chosen.push_back(others[index]->entry.address);
+  }
+  return chosen;
+}
+
+/// Tells whether this node reaches one of some endpoints. If not, what it lost says more of its own
+/// connection than of an endpoint.
+awaitable<bool> ReachesAny(Gateway& gateway, std::vector<net::tcp::endpoint> addresses) {
+  for (const net::tcp::endpoint& address : addresses) {
+    net::beast::tcp_stream stream(gateway.executor);
+    const net::ErrorCode error = co_await Connect(gateway, address, stream);
+    const bool is_reached = !error && !co_await IsDropped(stream);
+    if (is_reached) {
+      co_return true;
+    }
+  }
+  co_return false;
+}
+
+/// What became of an endpoint that neither this node nor a peer reaches.
+awaitable<EndpointFate> FateOfUnreached(Gateway& gateway, std::uint32_t key) {
+  const std::vector<net::tcp::endpoint> others = ChooseOthers(gateway, key);
+  const bool is_own_trouble = !others.empty() && !co_await ReachesAny(gateway, others);
+  co_return is_own_trouble ? EndpointFate::kCutOff : EndpointFate::kEnded;
+}
+
 }  // namespace
 
 awaitable<EndpointFate> EndpointCheck::Observe(Gateway& gateway, const EndpointState& endpoint) {
@@ -52,20 +96,23 @@
     if (is_cut_off) {
       co_return EndpointFate::kCutOff;
     }
-    co_return connect_error == net::asio::error::connection_refused ? EndpointFate::kEnded
-                                                                    : EndpointFate::kUnknown;
+    if (connect_error != net::asio::error::connection_refused) {
+      co_return EndpointFate::kUnknown;
+    }
+    co_return co_await FateOfUnreached(gateway, key);
   }
   if (gateway.idle_connections.IsOpen(endpoint.incarnation)) {
     co_return EndpointFate::kAlive;
   }
   const bool is_dropped = co_await IsDropped(stream);
-  if (is_dropped) {
-    const bool is_cut_off = co_await gateway.paths.IsReachedByPeer(entry, key, started);
-    if (is_cut_off) {
-      co_return EndpointFate::kCutOff;
-    }
+  if (!is_dropped) {
+    co_return EndpointFate::kUnknown;
+  }
+  const bool is_cut_off = co_await gateway.paths.IsReachedByPeer(entry, key, started);
+  if (is_cut_off) {
+    co_return EndpointFate::kCutOff;
   }
-  co_return is_dropped ? EndpointFate::kEnded : EndpointFate::kUnknown;
+  co_return co_await FateOfUnreached(gateway, key);
 }
 
 awaitable<bool> EndpointCheck::IsAlive(Gateway& gateway,
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -150,12 +150,14 @@
 
 awaitable<std::optional<bool>> EndpointPaths::OpenThroughPeer(Connection connection,
                                                               net::SteadyTime until,
-                                                              CancelScope* cancel) {
+                                                              CancelScope* cancel,
+                                                              std::vector<Address> tried) {
   const std::uint32_t key = connection->endpoint->key;
   const net::tcp::endpoint address = connection->endpoint->entry.address;
-  std::vector<Address> tried;
+  const std::size_t most_tried = tried.size() + kMaxPeersAsked;
+  std::size_t asked = 0;
   std::size_t unreachable = 0;
-  while (tried.size() < kMaxPeersAsked && unreachable < kPeersThatTell && net::Now() < until) {
+  while (tried.size() < most_tried && unreachable < kPeersThatTell && net::Now() < until) {
     const std::optional<Address> peer =
         this->peers->Choose(tried, net::RandomFraction(), net::Now());
     if (!peer) {
@@ -178,9 +180,10 @@
     }
     unreachable += outcome == TunnelOutcome::kUnreachable ? 1 : 0;
     tried.push_back(*peer);
+    ++asked;
   }
   connection->stream.close();
-  const bool is_told = unreachable > 0 && unreachable == std::min(kPeersThatTell, tried.size());
+  const bool is_told = unreachable > 0 && unreachable == std::min(kPeersThatTell, asked);
   if (!is_told) {
     co_return std::nullopt;
   }
@@ -203,18 +206,31 @@
 
 awaitable<bool> EndpointPaths::IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
                                                      milliseconds drop_limit) {
+  std::vector<Address> tried;
+  for (std::size_t peers_asked = 0; peers_asked < kMaxPeersAsked; ++peers_asked) {
+    const std::optional<bool> accepted = co_await this->TryThroughPeer(endpoint, drop_limit, tried);
+    if (!accepted || *accepted) {
+      co_return accepted.value_or(false);
+    }
+  }
+  co_return false;
+}
+
+awaitable<std::optional<bool>> EndpointPaths::TryThroughPeer(
+    std::shared_ptr<EndpointState> endpoint, milliseconds drop_limit, std::vector<Address>& tried) {
   if (!this->peers) {
-    co_return false;
+    co_return std::nullopt;
   }
   auto connection = std::make_shared<internal::EndpointConnection>(this->executor, endpoint);
   const std::optional<bool> reached =
-      co_await this->OpenThroughPeer(connection, net::Now() + 2 * kTunnelLimit, nullptr);
+      co_await this->OpenThroughPeer(connection, net::Now() + 2 * kTunnelLimit, nullptr, tried);
   if (!reached.value_or(false)) {
-    co_return false;
+    co_return std::nullopt;
   }
   const bool is_dropped = co_await this->IsDropped(connection->stream, drop_limit);
   this->evidence.RecordThroughPeer(endpoint->key, !is_dropped, net::Now());
   this->ReportChanges();
+  tried.push_back(*connection->through);
   co_return !is_dropped;
 }
 
@@ -233,7 +249,8 @@
 
 awaitable<void> EndpointPaths::ProbeThroughPeer(std::shared_ptr<EndpointState> endpoint) {
   const OpenProbe open(this->open_probes);
-  co_await this->IsAcceptedThroughPeer(endpoint, this->drop_limit.Current(net::Now()));
+  std::vector<Address> tried;
+  co_await this->TryThroughPeer(endpoint, this->drop_limit.Current(net::Now()), tried);
 }
 
 std::shared_ptr<EndpointState> EndpointPaths::Find(std::uint32_t key) const {
--- a/src/gateway/types/endpoint_fate.h
+++ b/src/gateway/types/endpoint_fate.h
@@ -6,8 +6,8 @@
 enum class EndpointFate {
   kAlive,    ///< another connection to it is still open
   kUnknown,  ///< it accepts connections or does not answer
-  kCutOff,   ///< a peer reaches it, this node does not
-  kEnded,    ///< its address refuses or drops connections
+  kCutOff,   ///< a peer reaches it and this node does not, or this node reaches no endpoint
+  kEnded,    ///< its address refuses or drops connections, those of others do not
 };
 
 }  // namespace lentilhead::gateway
