--- a/src/apps/node/node_program.cc
+++ b/src/apps/node/node_program.cc
@@ -28,6 +28,7 @@
 constexpr milliseconds kStallThreshold{700};        // longer than usual scheduling delays
 constexpr milliseconds kStoreSilenceTimeout{1100};  // after it, peers may provide the endpoints
 constexpr int kSettingsCheckTicks = 10;  // maintenance periods between checks of the file
+constexpr int kOutcomeTicks = 10;        // maintenance periods in which outcomes are counted
 
 std::chrono::nanoseconds BootTime() {
   timespec now{};
@@ -309,6 +310,24 @@
   this->presence.RefreshAfterStall();
 }
 
+void NodeProgram::ReportOutcomes() {
+  const std::optional<gateway::OutcomeChange> change = this->gateway.outcomes.EndPeriod();
+  if (!change) {
+    return;
+  }
+  net::LogLine(change->is_serving ? "service_regained" : "service_lost")
+      .With("served", change->served)
+      .With("unserved", change->unserved)
+      .With("reason", change->reason)
+      .With("endpoints", this->gateway.registry.All().size())
+      .With("unreachable", this->gateway.registry.Unreachable(net::Now()).size())
+      .With("cut_off", this->gateway.paths.CutOffCount())
+      .With("held", this->gateway.quarantine.HeldCount())
+      .With("peers", this->peers.Alive().size())
+      .With("store", this->store.IsServingThisNode())
+      .With("config", this->gateway.routes.Version());
+}
+
 awaitable<void> NodeProgram::Maintain() {
   net::asio::steady_timer timer(this->executor);
   std::chrono::nanoseconds last = BootTime();
@@ -335,6 +354,9 @@
     this->UpdateQuotas();
     this->gateway.admission.Dispatch();
     this->caller_server.EndSlowReaders();
+    if (ticks % kOutcomeTicks == 0) {
+      this->ReportOutcomes();
+    }
     if (ticks % kSettingsCheckTicks == 0 &&
         ReadFile(this->options.settings_path) != this->settings_text) {
       this->Reload("file");
--- a/src/apps/node/node_program.h
+++ b/src/apps/node/node_program.h
@@ -67,6 +67,8 @@
   void UpdateGroup();
   void Reload(std::string_view cause);
   void RefreshAfterStall();
+  /// Logs that most online requests are no longer served, or are again, with what may be the cause.
+  void ReportOutcomes();
   /// Lets peers hear soon of what endpoints say of their limits.
   void ConnectLimits();
   /// Lets the quotas follow the configuration and the list of nodes.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -6,6 +6,7 @@
 #include "gateway/endpoint_paths.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/internal/idle_connections.h"
+#include "gateway/outcome_watch.h"
 #include "gateway/part_quarantine.h"
 #include "gateway/route_durations.h"
 #include "gateway/route_table.h"
@@ -44,6 +45,7 @@
   bool stopping = false;     ///< the node is shutting down
   ShutdownTimes shutdown;    ///< set when the node is shutting down
   RouteDurations durations;  ///< of online requests
+  OutcomeWatch outcomes;     ///< of online requests
   /// Limits requests of customers with a quota; null in tests without quotas.
   customers::QuotaExchange* quotas = nullptr;
 };
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -227,6 +227,7 @@
                                              const InferenceRequest& request, const char* reason,
                                              milliseconds retry_after) {
   net::LogLine("request_refused").With("request", request.id).With("reason", reason);
+  this->gateway.outcomes.Record(false, reason);
   this->gateway.metrics
       .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", reason}})
       .Add();
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -464,6 +464,19 @@
       .Add();
 }
 
+void EndpointAttempt::ReportBelievedEnd(std::string_view sign) {
+  net::LogLine("answer_end_believed")
+      .With("request", this->request_id)
+      .With("endpoint", this->endpoint->entry.id)
+      .With("sign", sign)
+      .With("received", this->received)
+      .With("ms", net::ToMilliseconds(net::Now() - this->head_at).count())
+      .With("through", this->through ? this->through->to_string() : "");
+  this->gateway.metrics
+      .GetCounter("gateway_answer_ends_believed_total", {{"sign", std::string(sign)}})
+      .Add();
+}
+
 awaitable<BodyState> EndpointAttempt::StateAtEnd(net::SteadyTime until) {
   if (this->Framing() != AnswerFraming::kConnection) {
     co_return BodyState::kEnd;
@@ -476,15 +489,16 @@
     co_return BodyState::kBroken;
   }
   // The system ends the connections of a killed process in good order, too.
-  const bool is_alive = co_await EndpointCheck::IsAlive(this->gateway, this->connection);
+  const LifeSign sign = co_await EndpointCheck::FindLifeSign(this->gateway, this->connection);
   // An endpoint that leaves may accept no more connections while it finishes its answers. One that
   // can be had elsewhere needs no such trust.
   const bool is_leaving = this->endpoint->is_leaving || this->endpoint->entry.is_draining;
-  const bool is_trusted = is_alive || (is_leaving && !this->open.may_repeat);
+  const bool is_trusted = sign != LifeSign::kNone || (is_leaving && !this->open.may_repeat);
   if (!is_trusted) {
     this->ReportUnprovenEnd("endpoint_lost");
     co_return BodyState::kBroken;
   }
+  this->ReportBelievedEnd(sign != LifeSign::kNone ? NameOf(sign) : "leaving");
   co_return BodyState::kEnd;
 }
 
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -148,6 +148,8 @@
   net::asio::awaitable<bool> IsRequestWritten(net::SteadyTime until);
   /// Logs and counts an answer without framing whose end is not believed.
   void ReportUnprovenEnd(std::string_view cause);
+  /// Logs and counts an answer without framing whose end is believed. @param sign why.
+  void ReportBelievedEnd(std::string_view sign);
   /// State of a body that was received up to its end. Without framing, the end of a connection that
   /// was reset, or whose endpoint or peer has died, is not that of the answer.
   net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -115,13 +115,15 @@
   co_return co_await FateOfUnreached(gateway, key);
 }
 
-awaitable<bool> EndpointCheck::IsAlive(Gateway& gateway,
-                                       std::shared_ptr<const EndpointConnection> connection) {
+awaitable<LifeSign> EndpointCheck::FindLifeSign(
+    Gateway& gateway, std::shared_ptr<const EndpointConnection> connection) {
   const std::shared_ptr<EndpointState> endpoint = connection->endpoint;
   if (connection->through) {
     const bool is_peer_alive =
         co_await gateway.paths.IsAlive(*connection->through, net::Now() + kConnectLimit);
-    co_return is_peer_alive&& co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
+    const bool is_accepted =
+        is_peer_alive && co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
+    co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
   }
   const net::SteadyTime ended_at = net::Now();
   net::ErrorCode error = net::beast::error::timeout;
@@ -133,16 +135,22 @@
       continue;
     }
     const bool is_dropped = co_await IsDropped(stream);
-    if (!is_dropped || gateway.idle_connections.IsOpen(endpoint->incarnation) ||
-        gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
-      co_return true;
+    if (!is_dropped) {
+      co_return LifeSign::kAccepted;
+    }
+    if (gateway.idle_connections.IsOpen(endpoint->incarnation)) {
+      co_return LifeSign::kIdleConnection;
+    }
+    if (gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
+      co_return LifeSign::kOtherAnswer;
     }
     net::asio::steady_timer pause(gateway.executor, kDropPause);
     co_await pause.async_wait(net::kAwaitWithError);
   }
   // Where this node is cut off since, a peer may still tell.
-  co_return error == net::beast::error::timeout&& co_await gateway.paths.IsAcceptedThroughPeer(
-                         endpoint, kDropLimit);
+  const bool is_accepted = error == net::beast::error::timeout &&
+                           co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
+  co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
 }
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/endpoint_connection.h"
 #include "gateway/types/endpoint_fate.h"
+#include "gateway/types/life_sign.h"
 #include "net/http_types.h"
 
 namespace lentilhead::gateway {
@@ -20,12 +21,11 @@
   [[nodiscard]] static net::asio::awaitable<EndpointFate> Observe(Gateway& gateway,
                                                                   const EndpointState& endpoint);
 
-  /// Tells whether an endpoint is alive after a connection to it has ended in good order. One that
-  /// drops new connections counts as alive if an idle connection to it is open, or if it goes on
-  /// with other answers.
+  /// Looks for a sign that an endpoint is alive after a connection to it has ended in good order.
+  /// Of one that drops new connections these are an open idle connection and other answers.
   /// @param connection ended; the check is made directly or through a peer, as it was opened.
-  /// @return false also if this can't be told.
-  [[nodiscard]] static net::asio::awaitable<bool> IsAlive(
+  /// @return LifeSign::kNone also if this can't be told.
+  [[nodiscard]] static net::asio::awaitable<LifeSign> FindLifeSign(
       Gateway& gateway, std::shared_ptr<const EndpointConnection> connection);
 };
 
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -36,6 +36,7 @@
                                                          const EndpointLease& lease,
                                                          AnswerHead answer) {
   const net::SteadyTime start = net::Now();
+  this->framing = answer.framing;
   const bool may_retry = this->routed.IsRepeatable() && this->MayRetry();
   if (may_retry) {
     this->silence.Start(AttemptPolicy::SilentWithoutAnswerAt(*this->routed.route, start,
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -59,6 +59,7 @@
   this->gateway.metrics
       .GetCounter("gateway_requests_total", {{"outcome", outcome}, {"reason", std::string(reason)}})
       .Add();
+  this->gateway.outcomes.Record(std::string_view(outcome) == "served", reason);
   const auto duration = net::Now() - this->routed.arrival;
   this->gateway.metrics.GetLatency("gateway_request_seconds", {{"outcome", outcome}})
       .Record(duration);
@@ -77,19 +78,21 @@
       .With("outcome", outcome)
       .With("reason", reason)
       .With("status", status)
-      .With("route", this->routed.route->name)
-      .With("config", this->routed.config->version)
       .With("endpoint", this->last_endpoint)
       .With("sent", this->record.sent)
-      .With("maybe_run", this->record.maybe_run)
       .With("ms", net::ToMilliseconds(now - this->routed.arrival).count())
       .With("left_ms", net::ToMilliseconds(this->routed.deadline - now).count());
   if (this->framing) {
-    line.With("framing", NameOf(*this->framing))
-        .With("last_event", this->sequence.LastEvent().value_or(-1))
+    line.With("framing", NameOf(*this->framing));
+  }
+  if (this->routed.route->kind == RouteKind::kStream) {
+    line.With("last_event", this->sequence.LastEvent().value_or(-1))
         .With("unfinished_bytes", this->unfinished_bytes)
         .With("first_event", this->sequence.FirstOfAnswer().value_or(-1));
   }
+  line.With("route", this->routed.route->name)
+      .With("config", this->routed.config->version)
+      .With("maybe_run", this->record.maybe_run);
   if (this->first_event != net::SteadyTime{}) {
     line.With("first_event_ms",
               net::ToMilliseconds(this->first_event - this->routed.arrival).count());
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -146,8 +146,8 @@
   std::chrono::milliseconds retry_pause{0};  ///< before the next attempt
   bool may_send_again = true;                ///< as far as lost endpoints tell
   std::optional<PartKey> held_part;          ///< because of which the request is refused
-  std::optional<AnswerFraming> framing;      ///< of the last streamed answer
-  std::size_t unfinished_bytes = 0;          ///< of that answer, after its last complete event
+  std::optional<AnswerFraming> framing;      ///< of the last answer
+  std::size_t unfinished_bytes = 0;          ///< of a streamed one, after its last complete event
   StreamSequence sequence;
   EndClaims end_claims;
   net::SteadyTime first_event;
