Ask an endpoint for its health before the end of an answer without framing is believed

Cause: an endpoint that is killed ends its connections in good order, which is how an answer without framing ends. The check after it took an accepted connection for a sign of life. A proxy, a supervisor or the system's queue accepts connections for an endpoint that is down, too. Change: InstanceQuery sends the health call of the service on a new connection, directly or through a peer, and EndpointCheck believes only an answer of that endpoint (its id, or a refusal that says that nothing ran), or other answers of it that go on. Services that state no health call are checked as before. An end at the deadline that the endpoint was given is not believed. The rest of a refusal is no longer checked, as nobody needs it.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -91,6 +91,11 @@
   net::asio::awaitable<bool> IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
                                                    std::chrono::milliseconds drop_limit);
 
+  /// Opens a connection to an endpoint through a peer, though this node may reach it itself.
+  /// @param connection not connected. @param until time limit.
+  /// @return whether a peer has connected it.
+  net::asio::awaitable<bool> OpenThroughAnyPeer(Connection connection, net::SteadyTime until);
+
   /// Records bytes of an answer.
   void RecordAnswer() { this->evidence.RecordAnswer(net::Now()); }
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -488,6 +488,11 @@
     this->ReportUnprovenEnd("request_unwritten");
     co_return BodyState::kBroken;
   }
+  // An endpoint stops its work at the deadline that it was given.
+  if (net::Now() >= until) {
+    this->ReportUnprovenEnd("time_over");
+    co_return BodyState::kTimedOut;
+  }
   // The system ends the connections of a killed process in good order, too.
   const LifeSign sign = co_await EndpointCheck::FindLifeSign(this->gateway, this->connection);
   // An endpoint that leaves may accept no more connections while it finishes its answers. One that
@@ -503,6 +508,15 @@
 }
 
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
+  BodyPiece piece = co_await this->ReadPart(until);
+  if (piece.state == BodyState::kEnd) {
+    piece.state = co_await this->StateAtEnd(until);
+    this->Finish();
+  }
+  co_return piece;
+}
+
+awaitable<BodyPiece> EndpointAttempt::ReadPart(net::SteadyTime until) {
   BodyPiece piece;
   if (!this->connection) {
     piece.state = BodyState::kBroken;
@@ -525,8 +539,7 @@
     }
   }
   if (this->parser->is_done()) {
-    piece.state = co_await this->StateAtEnd(until);
-    this->Finish();
+    piece.state = BodyState::kEnd;
   }
   co_return piece;
 }
@@ -552,13 +565,16 @@
   BodyPiece piece;
   std::size_t bytes = 0;
   while (piece.state == BodyState::kMore) {
-    piece = co_await this->ReadPiece(limit);
+    piece = co_await this->ReadPart(limit);
     bytes += piece.received;
     if (piece.state == BodyState::kMore && bytes > AnswerLimits::kMaxDiscardedBytes) {
       piece.state = BodyState::kOverLimit;
       this->AbortOverLimit(AnswerBound::kDiscarded, bytes);
     }
   }
+  if (piece.state == BodyState::kEnd) {
+    this->Finish();
+  }
   co_return piece.state;
 }
 
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -93,7 +93,7 @@
   net::asio::awaitable<BodyPiece> ReadRest(std::size_t most, net::SteadyTime until);
 
   /// Reads the rest of an answer that nobody needs, or closes the connection if the rest is long or
-  /// slow.
+  /// slow. Any end of the connection ends a body without framing.
   /// @param until time limit of the read.
   /// @return the state of the body; BodyState::kTimedOut also for a rest that is slow.
   net::asio::awaitable<BodyState> Discard(net::SteadyTime until);
@@ -150,6 +150,8 @@
   void ReportUnprovenEnd(std::string_view cause);
   /// Logs and counts an answer without framing whose end is believed. @param sign why.
   void ReportBelievedEnd(std::string_view sign);
+  /// Reads the next part of the body without a check of its end.
+  net::asio::awaitable<BodyPiece> ReadPart(net::SteadyTime until);
   /// State of a body that was received up to its end. Without framing, the end of a connection that
   /// was reset, or whose endpoint or peer has died, is not that of the answer.
   net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "gateway/gateway.h"
+#include "gateway/internal/instance_query.h"
 #include "net/socket_options.h"
 
 namespace lentilhead::gateway::internal {
@@ -22,6 +23,8 @@
 // The first packet of a connection may be lost; the system sends the next one only after a second.
 constexpr int kMaxConnects = 3;
 constexpr std::size_t kMaxOthers = 4;
+// A health call waits for a slot of a full endpoint, as requests do.
+constexpr milliseconds kAnswerLimit{500};
 // An endpoint that drops new connections may still send the events of other answers.
 constexpr milliseconds kDropPause{80};
 
@@ -76,6 +79,43 @@
   co_return false;
 }
 
+/// Path of the health call of an endpoint's service; empty if that is not known.
+std::string HealthPathOf(const Gateway& gateway, const EndpointState& endpoint) {
+  const std::shared_ptr<const ServingConfig>& config = gateway.routes.Config();
+  return config == nullptr ? std::string() : config->HealthPath(endpoint.entry.service);
+}
+
+/// What is behind an open connection to an endpoint. Without a health call, any process that does
+/// not drop the connection counts as the endpoint.
+awaitable<InstanceQuery::Reply> ReplyOn(std::shared_ptr<EndpointConnection> opened,
+                                        std::string health_path) {
+  if (!health_path.empty()) {
+    co_return co_await InstanceQuery::Ask(opened, health_path, net::Now() + kAnswerLimit);
+  }
+  const bool is_dropped = co_await IsDropped(opened->stream);
+  co_return is_dropped ? InstanceQuery::Reply::kLost : InstanceQuery::Reply::kSame;
+}
+
+/// Looks for a sign of life of an endpoint that this node can't reach itself.
+awaitable<LifeSign> FindSignThroughPeer(Gateway& gateway, std::shared_ptr<EndpointState> endpoint,
+                                        std::string health_path) {
+  if (health_path.empty()) {
+    const bool is_accepted = co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
+    co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
+  }
+  InstanceQuery::Reply reply = InstanceQuery::Reply::kLost;
+  for (int asked = 0; asked < kMaxConnects && reply == InstanceQuery::Reply::kLost; ++asked) {
+    auto opened = std::make_shared<EndpointConnection>(gateway.executor, endpoint);
+    const bool is_open =
+        co_await gateway.paths.OpenThroughAnyPeer(opened, net::Now() + kAnswerLimit);
+    if (!is_open) {
+      break;
+    }
+    reply = co_await InstanceQuery::Ask(opened, health_path, net::Now() + kAnswerLimit);
+  }
+  co_return reply == InstanceQuery::Reply::kSame ? LifeSign::kHealthAnswer : LifeSign::kNone;
+}
+
 /// What became of an endpoint that neither this node nor a peer reaches.
 awaitable<EndpointFate> FateOfUnreached(Gateway& gateway, std::uint32_t key) {
   const std::vector<net::tcp::endpoint> others = ChooseOthers(gateway, key);
@@ -118,39 +158,45 @@
 awaitable<LifeSign> EndpointCheck::FindLifeSign(
     Gateway& gateway, std::shared_ptr<const EndpointConnection> connection) {
   const std::shared_ptr<EndpointState> endpoint = connection->endpoint;
+  const std::string path = HealthPathOf(gateway, *endpoint);
   if (connection->through) {
     const bool is_peer_alive =
         co_await gateway.paths.IsAlive(*connection->through, net::Now() + kConnectLimit);
-    const bool is_accepted =
-        is_peer_alive && co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
-    co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
+    co_return is_peer_alive ? co_await FindSignThroughPeer(gateway, endpoint, path)
+                            : LifeSign::kNone;
   }
   const net::SteadyTime ended_at = net::Now();
   net::ErrorCode error = net::beast::error::timeout;
   for (int connects = 0; connects < kMaxConnects && error != net::asio::error::connection_refused;
        ++connects) {
-    net::beast::tcp_stream stream(gateway.executor);
-    error = co_await Connect(gateway, endpoint->entry.address, stream);
+    auto opened = std::make_shared<EndpointConnection>(gateway.executor, endpoint);
+    error = co_await Connect(gateway, endpoint->entry.address, opened->stream);
     if (error) {
       continue;
     }
-    const bool is_dropped = co_await IsDropped(stream);
-    if (!is_dropped) {
-      co_return LifeSign::kAccepted;
+    const InstanceQuery::Reply reply = co_await ReplyOn(opened, path);
+    if (reply == InstanceQuery::Reply::kSame) {
+      co_return path.empty() ? LifeSign::kAccepted : LifeSign::kHealthAnswer;
     }
-    if (gateway.idle_connections.IsOpen(endpoint->incarnation)) {
-      co_return LifeSign::kIdleConnection;
+    if (reply == InstanceQuery::Reply::kOther) {
+      co_return LifeSign::kNone;
     }
     if (gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
       co_return LifeSign::kOtherAnswer;
     }
+    if (reply == InstanceQuery::Reply::kSilent) {
+      co_return LifeSign::kNone;
+    }
+    if (gateway.idle_connections.IsOpen(endpoint->incarnation)) {
+      co_return LifeSign::kIdleConnection;
+    }
     net::asio::steady_timer pause(gateway.executor, kDropPause);
     co_await pause.async_wait(net::kAwaitWithError);
   }
   // Where this node is cut off since, a peer may still tell.
-  const bool is_accepted = error == net::beast::error::timeout &&
-                           co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
-  co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
+  co_return error == net::beast::error::timeout
+      ? co_await FindSignThroughPeer(gateway, endpoint, path)
+      : LifeSign::kNone;
 }
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -21,8 +21,8 @@
   [[nodiscard]] static net::asio::awaitable<EndpointFate> Observe(Gateway& gateway,
                                                                   const EndpointState& endpoint);
 
-  /// Looks for a sign that an endpoint is alive after a connection to it has ended in good order.
-  /// Of one that drops new connections these are an open idle connection and other answers.
+  /// Looks for a sign that an endpoint is alive after a connection to it has ended in good order:
+  /// an answer to a health call, or, of one that is full, other answers or an open idle connection.
   /// @param connection ended; the check is made directly or through a peer, as it was opened.
   /// @return LifeSign::kNone also if this can't be told.
   [[nodiscard]] static net::asio::awaitable<LifeSign> FindLifeSign(
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -191,6 +191,15 @@
   co_return false;
 }
 
+awaitable<bool> EndpointPaths::OpenThroughAnyPeer(Connection connection, net::SteadyTime until) {
+  if (!this->peers) {
+    co_return false;
+  }
+  const std::optional<bool> reached =
+      co_await this->OpenThroughPeer(std::move(connection), until, nullptr);
+  co_return reached.value_or(false);
+}
+
 awaitable<bool> EndpointPaths::IsReachedByPeer(EndpointEntry entry, std::uint32_t key,
                                                net::SteadyTime started) {
   this->evidence.RecordDirect(key, false, started, net::Now());
--- a/src/gateway/types/life_sign.h
+++ b/src/gateway/types/life_sign.h
@@ -8,7 +8,8 @@
 /// What shows that an endpoint was alive after a connection to it had ended in good order.
 enum class LifeSign : std::uint8_t {
   kNone,            ///< nothing does
-  kAccepted,        ///< its address accepts a connection and does not drop it at once
+  kHealthAnswer,    ///< it answers a health call
+  kAccepted,        ///< its address accepts connections, and its service states no health call
   kIdleConnection,  ///< an idle connection to it is open
   kOtherAnswer,     ///< it goes on with another answer
 };
@@ -18,6 +19,8 @@
   switch (sign) {
     case LifeSign::kNone:
       return "none";
+    case LifeSign::kHealthAnswer:
+      return "health_answer";
     case LifeSign::kAccepted:
       return "accepted";
     case LifeSign::kIdleConnection:
