Let a second endpoint confirm an answer without framing where the request may be repeated

Cause: the end of a connection is no word of its sender that the answer is whole. Change: the end of a stream or item without framing is a claim, which another endpoint confirms by resuming it behind the last event (EndClaims); a plain answer is run once more, and the longer of two answers without framing is passed on. If no slot is free within 200 ms, no attempt is left, or the second endpoint fails, the answer is believed on the sign of life of its endpoint.

--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -18,11 +18,12 @@
   if (this->UnfinishedBytes() > 0) {
     return StreamState::kBroken;
   }
+  const bool is_framed = this->framing != AnswerFraming::kConnection;
   if (this->sequence.HasGrown()) {
-    return StreamState::kComplete;
+    return is_framed ? StreamState::kComplete : StreamState::kUnframed;
   }
   // Without framing, a connection that was lost behind the head ends in the same way.
-  if (this->framing == AnswerFraming::kConnection) {
+  if (!is_framed) {
     return StreamState::kEmpty;
   }
   return this->sequence.IsResumed() ? StreamState::kUnproven : StreamState::kComplete;
--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -14,6 +14,7 @@
   kComplete,   ///< the last event was received
   kEmpty,      ///< the connection ended before any event: broken, or nothing was left to send
   kUnproven,   ///< ended by a framed answer that resumed it and added no event
+  kUnframed,   ///< the connection ended behind an event, which may not be the last one
   kBroken,     ///< broken off between events or inside one
   kForeign,    ///< bytes follow that are no event
   kMisplaced,  ///< an event follows that does not continue the stream
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -72,6 +72,9 @@
   if (answer.decoded.is_signed && !answer.decoded.not_executed) {
     this->RecordAnswer(code / 100 == 2);
   }
+  if (this->unconfirmed && code / 100 != 2) {
+    co_return co_await this->DeliverWholeAnswer(std::move(*this->unconfirmed));
+  }
   if (body.state == BodyState::kMore) {
     co_return co_await this->ForwardLargeAnswer(attempt, lease, std::move(answer),
                                                 std::move(body.bytes));
@@ -79,7 +82,28 @@
   EndpointFeedback::RecordUnitLatency(lease.Endpoint(), net::Now() - this->routed.arrival);
   this->gateway.admission.RecordFirstEvent(this->routed.service, net::Now() - this->attempt_start);
   this->work.RecordAnswer(lease, net::Now());
+  const bool must_be_confirmed = this->NeedsConfirmation(answer, body);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
+  if (must_be_confirmed) {
+    this->unconfirmed = std::move(response);
+    co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
+  }
+  // Of two answers without framing, only the shorter one can have been cut.
+  const bool is_shorter = answer.framing == AnswerFraming::kConnection && this->unconfirmed &&
+                          response.body().size() < this->unconfirmed->body().size();
+  co_return co_await this->DeliverWholeAnswer(is_shorter ? std::move(*this->unconfirmed)
+                                                         : std::move(response));
+}
+
+bool OnlineRun::NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const {
+  const bool is_success = answer.head.result_int() / 100 == 2;
+  return is_success && body.state == BodyState::kEnd &&
+         answer.framing == AnswerFraming::kConnection && this->routed.IsRepeatable() &&
+         this->MayRetry();
+}
+
+awaitable<OnlineRun::Step> OnlineRun::DeliverWholeAnswer(net::Response response) {
+  const int code = static_cast<int>(response.result_int());
   const bool sent = co_await this->session.Send(std::move(response), this->WriteLimit());
   const char* outcome = sent ? "served" : "gone";
   this->Count(outcome, "answer");
@@ -161,16 +185,26 @@
 }
 
 awaitable<OnlineRun::Step> OnlineRun::EndStream(const AnswerHead& answer) {
-  bool sent = co_await this->BeginStream(answer);
-  if (sent) {
-    sent = co_await this->session.EndChunks(this->WriteLimit());
-  }
+  const bool begun = co_await this->BeginStream(answer);
+  co_return co_await this->EndBegunStream(begun, static_cast<int>(answer.head.result_int()));
+}
+
+awaitable<OnlineRun::Step> OnlineRun::EndBegunStream(bool is_open, int status_code) {
+  const bool sent = is_open && co_await this->session.EndChunks(this->WriteLimit());
   const char* outcome = sent ? "served" : "gone";
   this->Count(outcome, "stream");
-  this->LogOutcome(outcome, "stream", static_cast<int>(answer.head.result_int()));
+  this->LogOutcome(outcome, "stream", status_code);
   co_return Step::kDone;
 }
 
+awaitable<void> OnlineRun::DeliverUnconfirmed() {
+  if (this->stream_begun) {
+    co_await this->EndBegunStream(true, static_cast<int>(status::ok));
+  } else {
+    co_await this->DeliverWholeAnswer(std::move(*this->unconfirmed));
+  }
+}
+
 std::string_view OnlineRun::StreamCauseOf(StreamState state, bool was_silent) {
   switch (state) {
     case StreamState::kOverLimit:
@@ -186,9 +220,21 @@
   }
 }
 
+bool OnlineRun::IsEndClaim(StreamState state) const {
+  const bool is_empty_claim =
+      state == StreamState::kEmpty && this->end_claims.IsClaimedWithoutFraming();
+  return state == StreamState::kUnproven || state == StreamState::kUnframed || is_empty_claim;
+}
+
 awaitable<OnlineRun::Step> OnlineRun::AfterEndClaim(const EndpointLease& lease,
-                                                    const AnswerHead& answer) {
-  if (this->end_claims.Add(this->last_endpoint) == EndClaims::Result::kConfirmed) {
+                                                    const AnswerHead& answer, StreamState state) {
+  const EndClaims::Result claim = state == StreamState::kUnframed
+                                      ? this->end_claims.AddWithoutFraming(this->last_endpoint)
+                                      : this->end_claims.Add(this->last_endpoint);
+  // The endpoint that sent the last event was alive after it.
+  const bool can_not_be_asked = this->end_claims.IsClaimedWithoutFraming() &&
+                                !(this->routed.IsRepeatable() && this->MayRetry());
+  if (claim == EndClaims::Result::kConfirmed || can_not_be_asked) {
     co_return co_await this->EndStream(answer);
   }
   co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
@@ -245,8 +291,8 @@
     if (part.state == StreamState::kComplete) {
       co_return co_await this->EndStream(answer);
     }
-    if (part.state == StreamState::kUnproven && !was_silent) {
-      co_return co_await this->AfterEndClaim(lease, answer);
+    if (this->IsEndClaim(part.state) && !was_silent) {
+      co_return co_await this->AfterEndClaim(lease, answer, part.state);
     }
     if (was_silent || part.state != StreamState::kMore) {
       co_return co_await this->AfterFailure(lease, StreamCauseOf(part.state, was_silent));
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -104,6 +104,10 @@
 }
 
 awaitable<void> OnlineRun::Refuse(std::string_view reason, milliseconds wait) {
+  if (this->HasUnconfirmedEnd()) {
+    co_await this->DeliverUnconfirmed();
+    co_return;
+  }
   if (this->stream_begun) {
     this->Count("cut", reason);
     this->LogOutcome("cut", reason, 0);
@@ -162,6 +166,10 @@
 }
 
 awaitable<void> OnlineRun::Fail(status code, std::string_view reason) {
+  if (this->HasUnconfirmedEnd()) {
+    co_await this->DeliverUnconfirmed();
+    co_return;
+  }
   this->Count("failed", reason);
   this->LogOutcome(this->stream_begun ? "cut" : "failed", reason, static_cast<int>(code));
   if (this->stream_begun) {
@@ -209,6 +217,9 @@
   terms.until = this->HasBegun() ? this->routed.deadline
                                  : RefusalPolicy::WaitUntil(*this->routed.route, net::Now(),
                                                             this->routed.deadline);
+  if (this->HasUnconfirmedEnd()) {
+    terms.until = std::min(terms.until, net::Now() + kConfirmationWait);
+  }
   if (!this->routed.config->customers.IsEmpty()) {
     terms.objectives = WaitObjectives{this->routed.arrival, this->routed.route->target_latency,
                                       this->routed.deadline};
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -50,6 +50,8 @@
   static constexpr std::string_view kForeignBytesCause = "foreign_bytes";
   static constexpr std::string_view kMisplacedEventCause = "misplaced_event";
   static constexpr std::string_view kEndUnconfirmedCause = "end_unconfirmed";
+  /// Longest wait for a slot at an endpoint that is to confirm the end of an answer.
+  static constexpr std::chrono::milliseconds kConfirmationWait{200};
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
   /// Between checks whether a suspicion has ended.
@@ -73,8 +75,26 @@
                                            const AnswerHead& answer);
   net::asio::awaitable<bool> BeginStream(const AnswerHead& answer);
   net::asio::awaitable<Step> EndStream(const AnswerHead& answer);
+  /// Ends a stream that the caller has begun to receive.
+  /// @param is_open whether the caller has not left. @param status_code of the answer, for the log.
+  net::asio::awaitable<Step> EndBegunStream(bool is_open, int status_code);
   /// Ends the stream if two endpoints claim that it has ended; else resumes it.
-  net::asio::awaitable<Step> AfterEndClaim(const EndpointLease& lease, const AnswerHead& answer);
+  /// @param state in which the last answer left the stream.
+  net::asio::awaitable<Step> AfterEndClaim(const EndpointLease& lease, const AnswerHead& answer,
+                                           StreamState state);
+  /// Whether an answer that left the stream in `state` claims that the stream has ended.
+  [[nodiscard]] bool IsEndClaim(StreamState state) const;
+  /// Whether another endpoint is to confirm that a body is whole.
+  [[nodiscard]] bool NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const;
+  /// Sends the caller an answer of the last endpoint.
+  net::asio::awaitable<Step> DeliverWholeAnswer(net::Response response);
+  /// Whether the caller could be sent an answer whose end no second endpoint has confirmed.
+  [[nodiscard]] bool HasUnconfirmedEnd() const {
+    return this->stream_begun ? this->end_claims.IsClaimedWithoutFraming()
+                              : this->unconfirmed.has_value();
+  }
+  /// Ends the request with that answer, as no other endpoint contradicts it.
+  net::asio::awaitable<void> DeliverUnconfirmed();
   /// Cause of a failed attempt whose stream is in `state`.
   [[nodiscard]] static std::string_view StreamCauseOf(StreamState state, bool was_silent);
   /// Whether the connection to an endpoint was lost before the whole answer was received.
@@ -150,6 +170,8 @@
   std::size_t unfinished_bytes = 0;          ///< of a streamed one, after its last complete event
   StreamSequence sequence;
   EndClaims end_claims;
+  /// Answer without framing that no other endpoint has confirmed yet.
+  std::optional<net::Response> unconfirmed;
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
--- a/src/gateway/tests/end_claims_test.cc
+++ b/src/gateway/tests/end_claims_test.cc
@@ -19,5 +19,15 @@
   CHECK(claims.Add("i-2") == EndClaims::Result::kFirst);
 }
 
+TEST_CASE("a claim without framing is dropped with the others") {
+  EndClaims claims;
+  CHECK(claims.Add("i-1") == EndClaims::Result::kFirst);
+  CHECK(!claims.IsClaimedWithoutFraming());
+  CHECK(claims.AddWithoutFraming("i-2") == EndClaims::Result::kConfirmed);
+  CHECK(claims.IsClaimedWithoutFraming());
+  claims.Clear();
+  CHECK(!claims.IsClaimedWithoutFraming());
+}
+
 }  // namespace
 }  // namespace lentilhead::gateway
--- a/src/gateway/types/end_claims.h
+++ b/src/gateway/types/end_claims.h
@@ -4,8 +4,9 @@
 
 namespace lentilhead::gateway {
 
-/// Collects which endpoints claim that a stream has ended, by answers that do not prove it, such as
-/// one that resumes the stream and contains no further event. Two endpoints must agree.
+/// Collects which endpoints claim that a stream has ended, by answers that do not prove it: one
+/// that resumes the stream and contains no further event, or one without framing, which ends with
+/// its connection. Two endpoints must agree.
 class EndClaims {
  public:
   /// What a claim adds.
@@ -24,11 +25,25 @@
     return this->first == endpoint ? Result::kSame : Result::kConfirmed;
   }
 
+  /// Records the claim of an endpoint that sent the last event without framing.
+  [[nodiscard]] Result AddWithoutFraming(const std::string& endpoint) {
+    this->is_without_framing = true;
+    return this->Add(endpoint);
+  }
+
+  /// Whether the endpoint that sent the last event claims that it is the last one. An empty answer
+  /// without framing, which else may have lost its events, then claims the same.
+  [[nodiscard]] bool IsClaimedWithoutFraming() const { return this->is_without_framing; }
+
   /// Drops the claims: a further event was received.
-  void Clear() { this->first.clear(); }
+  void Clear() {
+    this->first.clear();
+    this->is_without_framing = false;
+  }
 
  private:
   std::string first;  ///< endpoint that claimed the end first
+  bool is_without_framing = false;
 };
 
 }  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -31,12 +31,16 @@
 
 /// Outcome of an attempt whose streamed answer ended before the output was complete.
 ItemRunOutcome AfterIncomplete(StreamState state, const ItemProgress& progress) {
-  if (state == StreamState::kUnproven) {
-    return ItemRunOutcome::kEndUnproven;
+  switch (state) {
+    case StreamState::kUnproven:
+      return ItemRunOutcome::kEndUnproven;
+    case StreamState::kUnframed:
+      return ItemRunOutcome::kEndUnframed;
+    case StreamState::kEmpty:
+      return progress.last_event ? ItemRunOutcome::kEmptyUnframed : ItemRunOutcome::kResume;
+    default:
+      return ItemRunOutcome::kResume;
   }
-  // Endpoints that use no framing would never prove the end of an output that is whole.
-  const bool may_be_whole = state == StreamState::kEmpty && progress.last_event;
-  return may_be_whole ? ItemRunOutcome::kBeginAnew : ItemRunOutcome::kResume;
 }
 
 /// Appends the data of events that continue the output.
@@ -67,6 +71,10 @@
       return "goes_on";
     case ItemRunOutcome::kEndUnproven:
       return "end_unconfirmed";
+    case ItemRunOutcome::kEndUnframed:
+      return "end_unframed";
+    case ItemRunOutcome::kEmptyUnframed:
+      return "empty_unframed";
     case ItemRunOutcome::kBeginAnew:
       return "begins_anew";
     case ItemRunOutcome::kRunFailed:
@@ -129,9 +137,15 @@
   StreamSequence sequence(progress.last_event, progress.last_event.has_value());
   const ItemRunOutcome ended =
       co_await this->ReadEvents(AnswerStream(attempt, framing, sequence), work);
+  if (sequence.MayResume()) {
+    co_return ended;
+  }
+  if (ended == ItemRunOutcome::kEndUnframed) {
+    co_return ItemRunOutcome::kComplete;  // no other endpoint could confirm events without ids
+  }
   const bool is_resumed_next =
       ended == ItemRunOutcome::kResume || ended == ItemRunOutcome::kEndUnproven;
-  co_return is_resumed_next && !sequence.MayResume() ? ItemRunOutcome::kBeginAnew : ended;
+  co_return is_resumed_next ? ItemRunOutcome::kBeginAnew : ended;
 }
 
 awaitable<ItemRunOutcome> ItemRun::ReadEvents(AnswerStream stream, WorkMeter& work) {
@@ -177,7 +191,10 @@
     if (part.state != StreamState::kMore) {
       const bool is_loss =
           part.state == StreamState::kTimedOut || part.state == StreamState::kBroken;
-      if (!is_loss || !this->NotePathLoss(stream.Through())) {
+      const bool tells_nothing =
+          part.state == StreamState::kUnframed || progress.end_claims.IsClaimedWithoutFraming();
+      const bool is_excused = is_loss && this->NotePathLoss(stream.Through());
+      if (!tells_nothing && !is_excused) {
         this->RecordFailure(part.state == StreamState::kTimedOut);
       }
       this->is_connection_lost = part.state == StreamState::kBroken;
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -17,6 +17,8 @@
   kComplete,          ///< the output is whole
   kResume,            ///< the next attempt resumes after the last event received
   kEndUnproven,       ///< as kResume; a successful answer ended, which does not prove the end
+  kEndUnframed,       ///< as kResume; an answer without framing ended behind an event
+  kEmptyUnframed,     ///< an answer without framing ended before any event
   kBeginAnew,         ///< the output received cannot be resumed; the next attempt begins anew
   kRunFailed,         ///< the endpoint reports that the run failed
   kPermanentFailure,  ///< the endpoint reports that the item can never be completed
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -29,21 +29,38 @@
 constexpr milliseconds kRouteGracePeriod{3000};
 
 /// Outcome of an attempt whose answer ended without a proof that the output is whole: two endpoints
-/// confirm the end. If only one can be asked, a run from the beginning tells.
-ItemRunOutcome AfterEndClaim(ItemProgress& progress, const std::string& endpoint) {
-  switch (progress.end_claims.Add(endpoint)) {
+/// confirm the end. If only one can be asked, a run from the beginning tells; one that uses no
+/// framing could not tell more than that nothing follows.
+/// @param outcome of the attempt.
+ItemRunOutcome AfterEndClaim(ItemProgress& progress, const std::string& endpoint,
+                             ItemRunOutcome outcome) {
+  const bool is_unframed = outcome == ItemRunOutcome::kEndUnframed;
+  const gateway::EndClaims::Result claim = is_unframed
+                                               ? progress.end_claims.AddWithoutFraming(endpoint)
+                                               : progress.end_claims.Add(endpoint);
+  switch (claim) {
     case gateway::EndClaims::Result::kFirst:
-      return ItemRunOutcome::kEndUnproven;
+      return outcome;
     case gateway::EndClaims::Result::kSame:
-      return ItemRunOutcome::kBeginAnew;
+      return progress.end_claims.IsClaimedWithoutFraming() ? ItemRunOutcome::kComplete
+                                                           : ItemRunOutcome::kBeginAnew;
     case gateway::EndClaims::Result::kConfirmed:
       break;
   }
   return ItemRunOutcome::kComplete;
 }
 
+/// Whether an attempt that received events of an item claims that the output is whole.
+bool IsEndClaim(const ItemProgress& progress, ItemRunOutcome outcome) {
+  const bool is_claim =
+      outcome == ItemRunOutcome::kEndUnproven || outcome == ItemRunOutcome::kEndUnframed ||
+      (outcome == ItemRunOutcome::kEmptyUnframed && progress.end_claims.IsClaimedWithoutFraming());
+  return is_claim && progress.last_event;
+}
+
 bool BeginsAnew(ItemRunOutcome outcome) {
-  return outcome == ItemRunOutcome::kOverLimit || outcome == ItemRunOutcome::kBeginAnew;
+  return outcome == ItemRunOutcome::kOverLimit || outcome == ItemRunOutcome::kBeginAnew ||
+         outcome == ItemRunOutcome::kEmptyUnframed;
 }
 
 }  // namespace
@@ -230,8 +247,8 @@
     co_return;
   }
   progress.phase = ItemPhase::kWaiting;
-  if (outcome == ItemRunOutcome::kEndUnproven && progress.last_event) {
-    outcome = AfterEndClaim(progress, endpoint);
+  if (IsEndClaim(progress, outcome)) {
+    outcome = AfterEndClaim(progress, endpoint, outcome);
   }
   if (!BeginsAnew(outcome)) {
     this->RecordPace(*job, *attempt, outcome == ItemRunOutcome::kComplete);
