Log what ended an attempt at an item

Cause: item_attempt_ended had only step=goes_on, and its first 200 characters ended behind cancelled and last_event, so that no record tells why items of two seconds ended. Change: field end (cut, silent, a status, ...) right behind step; failures, cancelled, ms and parts follow what decides. Before, ids of 16 characters: the line of an item that an endpoint turned down had step=goes_on and no reason.

--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -43,6 +43,33 @@
   }
 }
 
+/// Name in logs of the state that a streamed answer ended in.
+std::string_view EndName(StreamState state) {
+  switch (state) {
+    case StreamState::kMore:
+      return "open";
+    case StreamState::kComplete:
+      return "complete";
+    case StreamState::kEmpty:
+      return "empty";
+    case StreamState::kUnproven:
+      return "unproven";
+    case StreamState::kUnframed:
+      return "unframed";
+    case StreamState::kBroken:
+      return "cut";
+    case StreamState::kForeign:
+      return "foreign_bytes";
+    case StreamState::kMisplaced:
+      return "misplaced_event";
+    case StreamState::kTimedOut:
+      return "silent";
+    case StreamState::kOverLimit:
+      return "over_limit";
+  }
+  return "unknown";
+}
+
 /// Appends the data of events that continue the output.
 void AppendEvents(ItemProgress& progress, const std::vector<StreamEvent>& events) {
   for (const StreamEvent& event : events) {
@@ -106,6 +133,7 @@
   ItemRunReport report;
   report.outcome = co_await this->Attempt(claim);
   report.stage = this->stage;
+  report.end = this->cancel.IsCancelled() ? "cancelled" : this->end;
   const bool may_have_ended = this->is_connection_lost && !this->is_path_suspected &&
                               this->stage != AttemptStage::kAnswering;
   if (!may_have_ended || this->cancel.IsCancelled()) {
@@ -181,10 +209,12 @@
       waiting_since = arrival;
     }
     if (output_bytes > gateway::AnswerLimits::kMaxItemOutputBytes) {
+      this->end = EndName(StreamState::kOverLimit);
       stream.AbortOverLimit(gateway::AnswerBound::kItemOutput, output_bytes);
       this->RecordFailure(false);
       co_return ItemRunOutcome::kOverLimit;
     }
+    this->end = EndName(part.state);
     if (part.state == StreamState::kComplete) {
       co_return ItemRunOutcome::kComplete;
     }
@@ -219,6 +249,7 @@
 }
 
 awaitable<ItemRunOutcome> ItemRun::ReadFailure(EndpointAttempt& attempt, const AnswerHead& answer) {
+  this->end = "status_" + std::to_string(answer.head.result_int());
   const BodyState body = co_await this->SkipErrorBody(attempt);
   if (body == BodyState::kOverLimit) {
     this->RecordFailure(false);
@@ -270,6 +301,7 @@
     co_return ItemRunOutcome::kResume;
   }
   if (const auto* failure = std::get_if<gateway::AttemptFailure>(&outcome)) {
+    this->end = NameOf(*failure);
     const bool is_loss = *failure == gateway::AttemptFailure::kUnknown ||
                          *failure == gateway::AttemptFailure::kTimedOut;
     const bool is_excused = *failure == gateway::AttemptFailure::kNoPath ||
@@ -287,6 +319,7 @@
   }
   const bool is_success = answer.head.result_int() / 100 == 2;
   if (is_success && !answer.decoded.HasEvents()) {
+    this->end = "no_events";
     attempt.Abort();
     this->RecordFailure(false);
     co_return ItemRunOutcome::kResume;
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -34,6 +34,7 @@
   ItemRunOutcome outcome = ItemRunOutcome::kResume;
   gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
   bool endpoint_ended = false;  ///< the endpoint ended before it sent an event of this attempt
+  std::string end;              ///< what ended the attempt, in logs
 };
 
 /// Sends an item to an endpoint once and reads the answer into the item's progress.
@@ -76,6 +77,7 @@
   const gateway::EndpointLease& lease;
   gateway::CancelScope& cancel;
   gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
+  std::string end;  ///< what ended the attempt
   bool is_connection_lost = false;
   bool is_path_suspected = false;  ///< the loss says nothing of the endpoint
 };
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -285,13 +285,14 @@
       .With("item", job->items.Spec(item).id)
       .With("endpoint", endpoint)
       .With("step", NameOf(outcome))
-      .With("cancelled", attempt->cancel.IsCancelled())
-      .With("last_event", progress.last_event.value_or(-1))
-      .With("failures", progress.failures)
+      .With("end", report.end)
       .With("stage", NameOf(report.stage))
+      .With("last_event", progress.last_event.value_or(-1))
       .With("endpoint_ended", report.endpoint_ended)
-      .With("parts", gateway::FormatPartKeys(job->items.Spec(item).keys.shared))
-      .With("ms", net::ToMilliseconds(net::Now() - attempt->started).count());
+      .With("failures", progress.failures)
+      .With("cancelled", attempt->cancel.IsCancelled())
+      .With("ms", net::ToMilliseconds(net::Now() - attempt->started).count())
+      .With("parts", gateway::FormatPartKeys(job->items.Spec(item).keys.shared));
 }
 
 std::shared_ptr<internal::ItemAttempt> JobService::NextToYield(
