--- a/src/gateway/types/endpoint_fate.h
+++ b/src/gateway/types/endpoint_fate.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 namespace lentilhead::gateway {
 
 /// What is known of an endpoint after a connection to it was lost.
@@ -10,4 +12,19 @@
   kEnded,    ///< its address refuses or drops connections, those of others do not
 };
 
+/// Name of a fate in logs.
+[[nodiscard]] inline std::string_view NameOf(EndpointFate fate) {
+  switch (fate) {
+    case EndpointFate::kAlive:
+      return "alive";
+    case EndpointFate::kUnknown:
+      return "unknown";
+    case EndpointFate::kCutOff:
+      return "cut_off";
+    case EndpointFate::kEnded:
+      return "ended";
+  }
+  return "unknown";
+}
+
 }  // namespace lentilhead::gateway
