Log the time left and the ends of the same moment with an answer without framing

Cause: a process that ended beside another one of its endpoint, an endpoint that ends its answers early and one that ends them at the deadline wrote the same lines: answer_end_believed sign=health_answer.

--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -146,10 +146,14 @@
   /// Waits for the end of the request's write; logs and counts a request that is not written.
   /// @param until end of the wait. @return whether all of it was written.
   net::asio::awaitable<bool> IsRequestWritten(net::SteadyTime until);
+  /// Counts the answers without framing of the endpoint that end at the same moment.
+  void RecordUnframedEnd();
   /// Logs and counts an answer without framing whose end is not believed.
-  void ReportUnprovenEnd(std::string_view cause);
+  /// @param until time limit of the answer.
+  void ReportUnprovenEnd(std::string_view cause, net::SteadyTime until);
   /// Logs and counts an answer without framing whose end is believed. @param sign why.
-  void ReportBelievedEnd(std::string_view sign);
+  /// @param until time limit of the answer.
+  void ReportBelievedEnd(std::string_view sign, net::SteadyTime until);
   /// Reads the next part of the body without a check of its end.
   net::asio::awaitable<BodyPiece> ReadPart(net::SteadyTime until);
   /// State of a body that was received up to its end. Without framing, the end of a connection that
--- a/src/gateway/types/endpoint_state.h
+++ b/src/gateway/types/endpoint_state.h
@@ -22,6 +22,8 @@
   net::SteadyTime last_answer;
   bool is_leaving = false;  ///< the endpoint or a peer said so; no new request is sent there
   net::SteadyTime said_leaving_at;  ///< last time at which the endpoint told this node
+  net::SteadyTime unframed_end;     ///< last end of an answer without framing
+  int ended_together = 0;           ///< answers without framing that ended about then
   bool unreachable = false;         ///< last failure: no connection or silence, as for other nodes
   int failures_in_row = 0;
   DecayingCount attempts;  ///< recent attempts of this node
