Log what a node that is not ready lacks

Cause: request_refused reason=not_ready did not tell a missing configuration from missing endpoints. Change: config, endpoints_loaded and evidence_loaded.

--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -226,7 +226,12 @@
 awaitable<void> CallerServer::RefuseUnrouted(CallerSession& session,
                                              const InferenceRequest& request, const char* reason,
                                              milliseconds retry_after) {
-  net::LogLine("request_refused").With("request", request.id).With("reason", reason);
+  net::LogLine("request_refused")
+      .With("request", request.id)
+      .With("reason", reason)
+      .With("config", this->gateway.routes.Version())
+      .With("endpoints_loaded", this->gateway.endpoints_loaded)
+      .With("evidence_loaded", this->gateway.evidence_loaded);
   this->gateway.outcomes.Record(false, reason);
   this->gateway.metrics
       .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", reason}})
