Write the end of a request that took several attempts as a notable line

Cause: a served request leaves routine lines only. Change: a served request of more than one attempt ends with a notable line, which is flushed at once and has the whole bound. Others stay routine: a flush for each would cost a system call.

--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -70,8 +70,10 @@
 
 void OnlineRun::LogOutcome(std::string_view outcome, std::string_view reason, int status) {
   const net::SteadyTime now = net::Now();
-  const bool routine = outcome == "served";
-  this->work.RecordEnd(this->routed.request.id, routine, now);
+  const bool is_served = outcome == "served";
+  // An answer that was put together of several attempts may be wrong although it was served.
+  const bool routine = is_served && this->record.sent <= 1;
+  this->work.RecordEnd(this->routed.request.id, is_served, now);
   net::LogLine line("request_end",
                     routine ? net::LogImportance::kRoutine : net::LogImportance::kNotable);
   line.With("request", this->routed.request.id)
