End streams once by a confirmation: later events, short answers, silence

Faults it found, each fixed here:

- An endpoint that confirms an end sent a later event behind a gap.
The attempt failed, and the stream ended as complete all the same (3 of 6 events).
The event now withdraws the claims, for items alike.
- An answer to a resumption that repeats the beginning of the stream and ends before its last event, as a late copy of an earlier answer does, counted as a claim that the stream has ended.
Two of them ended a stream or an item as complete after 3 of 6 events; one ended the stream of a caller that resumed after event 4 without events 5 and 6.
Such an answer fails the attempt.
- A confirming endpoint that was silent held the end of a whole stream for 4.8 and 5.0 s, one that refused for 5.1 s, asked every 100 ms; callers may give up after 2 s.
A confirmation now takes 1.8 s at most, and refusals use up attempts.
- A comment from a confirming endpoint withdrew the claim, and a whole stream was cut.
Only events with an id or data do so.

--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -18,6 +18,9 @@
   if (this->UnfinishedBytes() > 0) {
     return StreamState::kBroken;
   }
+  if (this->sequence.IsShort()) {
+    return StreamState::kMisplaced;
+  }
   const bool is_framed = this->framing != AnswerFraming::kConnection;
   if (this->sequence.HasGrown()) {
     return is_framed ? StreamState::kComplete : StreamState::kUnframed;
--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -17,7 +17,8 @@
   kUnframed,   ///< the connection ended behind an event, which may not be the last one
   kBroken,     ///< broken off between events or inside one
   kForeign,    ///< bytes follow that are no event
-  kMisplaced,  ///< an event follows that does not continue the stream
+  kMisplaced,  ///< an event follows that does not continue the stream, or events that it repeats
+               ///< end before the last one of the stream
   kTimedOut,   ///< the time limit passed first
   kOverLimit,  ///< the answer exceeds one of AnswerLimits
 };
@@ -49,6 +50,9 @@
   /// Number of bytes received after the last complete event.
   [[nodiscard]] std::size_t UnfinishedBytes() const { return this->splitter.Rest().size(); }
 
+  /// Whether the answer holds a later event that the stream has not reached.
+  [[nodiscard]] bool HasLaterEvent() const { return this->sequence.HasLaterEvent(); }
+
   /// Peer that the connection leads through, if there is one.
   [[nodiscard]] const std::optional<net::asio::ip::address>& Through() const {
     return this->attempt.Through();
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -231,6 +231,9 @@
   const EndClaims::Result claim = state == StreamState::kUnframed
                                       ? this->end_claims.AddWithoutFraming(this->last_endpoint)
                                       : this->end_claims.Add(this->last_endpoint);
+  if (claim == EndClaims::Result::kFirst) {
+    this->confirm_until = net::Now() + kLongestConfirmation;
+  }
   // The endpoint that sent the last event was alive after it.
   const bool can_not_be_asked = this->end_claims.IsClaimedWithoutFraming() &&
                                 !(this->routed.IsRepeatable() && this->MayRetry());
@@ -256,19 +259,22 @@
                               : AttemptPolicy::SilentWithoutAnswerAt(*this->routed.route, now,
                                                                      this->routed.deadline, true));
     }
-    StreamPart part = co_await stream.Read(this->routed.deadline);
+    StreamPart part = co_await stream.Read(this->AttemptLimit());
     has_advanced = part.has_advanced;
     // Bytes that complete no event are silence, too.
     const bool is_wait_over =
         has_advanced || part.state != StreamState::kMore || this->cancel.IsCancelled();
     const bool was_silent = is_wait_over && this->silence.Stop();
     this->unfinished_bytes = stream.UnfinishedBytes();
+    const bool has_content = std::ranges::any_of(part.events, &StreamEvent::has_content);
+    if (has_content || stream.HasLaterEvent()) {
+      this->end_claims.Clear();  // a comment does not contradict them
+    }
     if (this->cancel.IsCancelled() && part.state != StreamState::kComplete) {
       co_return Step::kCancelled;
     }
     if (!part.events.empty()) {
       this->silence_recorded = false;
-      this->end_claims.Clear();
       if (std::exchange(this->stage, AttemptStage::kAnswering) != AttemptStage::kAnswering) {
         this->RecordAnswer(true);
       }
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -145,7 +145,7 @@
 awaitable<OnlineRun::Step> OnlineRun::AfterNotExecuted(const EndpointLease& lease,
                                                        AnswerHead answer,
                                                        EndpointAttempt& attempt) {
-  const BodyState rest = co_await attempt.Discard(this->routed.deadline);
+  const BodyState rest = co_await attempt.Discard(this->AttemptLimit());
   if (rest == BodyState::kOverLimit) {
     EndpointFeedback::RecordFailure(lease.Endpoint(), net::Now(), false);
   }
@@ -172,7 +172,7 @@
   if (had_free_slot) {
     EndpointFeedback::RecordErrorAnswer(lease.Endpoint(), net::Now());
   }
-  if (this->HasBegun() && this->routed.IsRepeatable()) {
+  if (this->HasBegun() && this->routed.IsRepeatable() && !this->HasUnconfirmedEnd()) {
     this->tried = {this->last_endpoint};
     co_await this->Pause(kRepeatPause);
     co_return Step::kRetry;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -239,6 +239,12 @@
   co_return co_await this->gateway.admission.Acquire(std::move(choice), terms, this->cancel);
 }
 
+net::SteadyTime OnlineRun::AttemptLimit() const {
+  const bool is_confirmation = this->stream_begun && this->end_claims.IsClaimedWithoutFraming();
+  return is_confirmation ? std::min(this->routed.deadline, this->confirm_until)
+                         : this->routed.deadline;
+}
+
 bool OnlineRun::LeaveSilentEndpoint() {
   const milliseconds left = net::ToMilliseconds(this->routed.deadline - net::Now());
   const bool is_plain_body =
@@ -266,7 +272,7 @@
   Step step = Step::kRetry;
   while (step == Step::kRetry && !this->cancel.IsCancelled()) {
     const net::SteadyTime now = net::Now();
-    if (now >= this->routed.deadline) {
+    if (now >= this->AttemptLimit()) {
       co_await this->EndAtDeadline();
       co_return;
     }
@@ -368,7 +374,7 @@
         AttemptPolicy::SilentWithoutAnswerAt(route, now, this->routed.deadline, true));
   }
   EndpointAttempt::StartOutcome outcome = co_await attempt.Start(
-      std::move(message), this->routed.request.id, AttemptLimits{this->routed.deadline, may_retry});
+      std::move(message), this->routed.request.id, AttemptLimits{this->AttemptLimit(), may_retry});
   if (this->silence.Stop()) {
     outcome = AttemptFailure::kTimedOut;
   }
--- a/src/gateway/internal/stream_sequence.cc
+++ b/src/gateway/internal/stream_sequence.cc
@@ -5,6 +5,7 @@
 void StreamSequence::BeginAnswer() {
   this->is_resumed = this->has_events;
   this->has_grown = false;
+  this->has_later_event = false;
   this->first_of_answer.reset();
   this->last_of_answer.reset();
 }
@@ -28,7 +29,7 @@
 }
 
 EventVerdict StreamSequence::TakeUnnumbered(bool has_content) {
-  if (this->last_of_answer && *this->last_of_answer < *this->last_event) {
+  if (this->IsShort()) {
     return EventVerdict::kRepeated;
   }
   if (has_content && this->last_event && !this->last_of_answer) {
@@ -50,6 +51,7 @@
   }
   const EventVerdict verdict = this->Judge(*event.id);
   if (verdict != EventVerdict::kNext && verdict != EventVerdict::kRepeated) {
+    this->has_later_event = this->last_event && *event.id > *this->last_event;
     return verdict;
   }
   if (!this->first_of_answer) {
--- a/src/gateway/internal/stream_sequence.h
+++ b/src/gateway/internal/stream_sequence.h
@@ -36,6 +36,15 @@
   /// Whether the answer added an event to the stream.
   [[nodiscard]] bool HasGrown() const { return this->has_grown; }
 
+  /// Whether the answer repeats events but not the last one of the stream: it is no answer to a
+  /// request that resumes the stream there, and its end is not the end of the stream.
+  [[nodiscard]] bool IsShort() const {
+    return this->last_of_answer && *this->last_of_answer < *this->last_event;
+  }
+
+  /// Whether the answer holds a later event that the stream has not reached.
+  [[nodiscard]] bool HasLaterEvent() const { return this->has_later_event; }
+
   /// Whether events were received before the answer began.
   [[nodiscard]] bool IsResumed() const { return this->is_resumed; }
 
@@ -52,6 +61,7 @@
   bool has_unnumbered = false;
   bool is_resumed = false;
   bool has_grown = false;
+  bool has_later_event = false;
   std::optional<std::int64_t> first_of_answer;
   std::optional<std::int64_t> last_of_answer;
 };
--- a/src/gateway/tests/stream_sequence_test.cc
+++ b/src/gateway/tests/stream_sequence_test.cc
@@ -56,6 +56,27 @@
   CHECK(TakeAnswer(sequence, {4}) == Verdicts{EventVerdict::kNext});
 }
 
+TEST_CASE("an answer that repeats events but not the last one is short") {
+  StreamSequence sequence(3);
+  CHECK_FALSE(sequence.IsShort());
+  TakeAnswer(sequence, {1, 2});
+  CHECK(sequence.IsShort());
+  TakeAnswer(sequence, {1, 2, 3});
+  CHECK_FALSE(sequence.IsShort());
+  TakeAnswer(sequence, {});
+  CHECK_FALSE(sequence.IsShort());
+}
+
+TEST_CASE("an event behind a gap is a later one, an event that goes back is not") {
+  StreamSequence sequence(3);
+  TakeAnswer(sequence, {5});
+  CHECK(sequence.HasLaterEvent());
+  TakeAnswer(sequence, {2, 2});
+  CHECK_FALSE(sequence.HasLaterEvent());
+  TakeAnswer(sequence, {1, 2, 5});
+  CHECK(sequence.HasLaterEvent());
+}
+
 TEST_CASE("events that a resumed answer repeats at its beginning are told apart") {
   StreamSequence sequence(2);
   CHECK(TakeAnswer(sequence, {1, 2, 3}) ==
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -201,6 +201,9 @@
     const std::size_t bytes_before = progress.output.size();
     const std::optional<std::int64_t> event_before = progress.last_event;
     AppendEvents(progress, part.events);
+    if (stream.HasLaterEvent()) {
+      progress.end_claims.Clear();
+    }
     if (this->cancel.IsCancelled()) {
       co_return ItemRunOutcome::kResume;
     }
