--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -102,7 +102,7 @@
 
 bool EndpointPaths::WasHeardSince(std::uint32_t key, net::SteadyTime since) const {
   return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const OpenAttempt* attempt) {
-    return attempt->key == key && attempt->heard_at > since;
+    return attempt->key == key && attempt->bytes_at > since;
   });
 }
 
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -84,15 +84,16 @@
   this->work.RecordAnswer(lease, net::Now());
   const bool must_be_confirmed = this->NeedsConfirmation(answer, body);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
-  if (must_be_confirmed) {
-    this->unconfirmed = std::move(response);
-    co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
-  }
+  const bool is_confirmed = this->unconfirmed && response.body() == this->unconfirmed->body();
   // Of two answers without framing, only the shorter one can have been cut.
   const bool is_shorter = answer.framing == AnswerFraming::kConnection && this->unconfirmed &&
                           response.body().size() < this->unconfirmed->body().size();
-  co_return co_await this->DeliverWholeAnswer(is_shorter ? std::move(*this->unconfirmed)
-                                                         : std::move(response));
+  net::Response longest = is_shorter ? std::move(*this->unconfirmed) : std::move(response);
+  if (must_be_confirmed && !is_confirmed) {
+    this->unconfirmed = std::move(longest);
+    co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
+  }
+  co_return co_await this->DeliverWholeAnswer(std::move(longest));
 }
 
 bool OnlineRun::NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const {
--- a/src/gateway/types/open_attempt.h
+++ b/src/gateway/types/open_attempt.h
@@ -13,6 +13,7 @@
   bool is_relayed = false;    ///< the connection leads through a peer
   bool may_repeat = false;    ///< the request may be sent again if the attempt is ended
   net::SteadyTime heard_at;   ///< when the request was sent or bytes arrived last
+  net::SteadyTime bytes_at;   ///< when bytes arrived last; the epoch if none did
   std::function<void()> end;  ///< ends the attempt as if the connection were lost
 };
 
