Bound the confirmation of a plain answer, and believe no health answer after a lost one

A plain answer in hand waited for a confirming endpoint up to the caller's deadline if that one was silent, or if the node had lost all paths. The longer of two answers without framing counted as the whole one though it may be another text. The search for a sign of life had no time limit of its own. Change: confirmations of plain answers end after 1.8 s, as those of streams do; an answer is replaced by an earlier one only if it is the beginning of it; the search ends at the limit of the answer; after a lost health call only other answers or an open idle connection count. No test shows the faults themselves.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -513,7 +513,8 @@
     co_return BodyState::kTimedOut;
   }
   // The system ends the connections of a killed process in good order, too.
-  const LifeSign sign = co_await EndpointCheck::FindLifeSign(this->gateway, this->connection);
+  const LifeSign sign =
+      co_await EndpointCheck::FindLifeSign(this->gateway, this->connection, until);
   // An endpoint that leaves may accept no more connections while it finishes its answers. One that
   // can be had elsewhere needs no such trust.
   const bool is_leaving = this->endpoint->is_leaving || this->endpoint->entry.is_draining;
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -88,9 +88,10 @@
 /// What is behind an open connection to an endpoint. Without a health call, any process that does
 /// not drop the connection counts as the endpoint.
 awaitable<InstanceQuery::Reply> ReplyOn(std::shared_ptr<EndpointConnection> opened,
-                                        std::string health_path) {
+                                        std::string health_path, net::SteadyTime until) {
   if (!health_path.empty()) {
-    co_return co_await InstanceQuery::Ask(opened, health_path, net::Now() + kAnswerLimit);
+    const net::SteadyTime limit = std::min(until, net::Now() + kAnswerLimit);
+    co_return co_await InstanceQuery::Ask(opened, health_path, limit);
   }
   const bool is_dropped = co_await IsDropped(opened->stream);
   co_return is_dropped ? InstanceQuery::Reply::kLost : InstanceQuery::Reply::kSame;
@@ -98,7 +99,7 @@
 
 /// Looks for a sign of life of an endpoint that this node can't reach itself.
 awaitable<LifeSign> FindSignThroughPeer(Gateway& gateway, std::shared_ptr<EndpointState> endpoint,
-                                        std::string health_path) {
+                                        std::string health_path, net::SteadyTime until) {
   if (health_path.empty()) {
     const bool is_accepted = co_await gateway.paths.IsAcceptedThroughPeer(endpoint, kDropLimit);
     co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
@@ -106,12 +107,12 @@
   InstanceQuery::Reply reply = InstanceQuery::Reply::kLost;
   for (int asked = 0; asked < kMaxConnects && reply == InstanceQuery::Reply::kLost; ++asked) {
     auto opened = std::make_shared<EndpointConnection>(gateway.executor, endpoint);
-    const bool is_open =
-        co_await gateway.paths.OpenThroughAnyPeer(opened, net::Now() + kAnswerLimit);
+    const net::SteadyTime limit = std::min(until, net::Now() + kAnswerLimit);
+    const bool is_open = co_await gateway.paths.OpenThroughAnyPeer(opened, limit);
     if (!is_open) {
       break;
     }
-    reply = co_await InstanceQuery::Ask(opened, health_path, net::Now() + kAnswerLimit);
+    reply = co_await InstanceQuery::Ask(opened, health_path, limit);
   }
   co_return reply == InstanceQuery::Reply::kSame ? LifeSign::kHealthAnswer : LifeSign::kNone;
 }
@@ -156,26 +157,28 @@
 }
 
 awaitable<LifeSign> EndpointCheck::FindLifeSign(
-    Gateway& gateway, std::shared_ptr<const EndpointConnection> connection) {
+    Gateway& gateway, std::shared_ptr<const EndpointConnection> connection, net::SteadyTime until) {
   const std::shared_ptr<EndpointState> endpoint = connection->endpoint;
   const std::string path = HealthPathOf(gateway, *endpoint);
   if (connection->through) {
     const bool is_peer_alive =
         co_await gateway.paths.IsAlive(*connection->through, net::Now() + kConnectLimit);
-    co_return is_peer_alive ? co_await FindSignThroughPeer(gateway, endpoint, path)
+    co_return is_peer_alive ? co_await FindSignThroughPeer(gateway, endpoint, path, until)
                             : LifeSign::kNone;
   }
   const net::SteadyTime ended_at = net::Now();
   net::ErrorCode error = net::beast::error::timeout;
-  for (int connects = 0; connects < kMaxConnects && error != net::asio::error::connection_refused;
+  bool was_lost = false;  // if so, a process that answers later may have been started since
+  for (int connects = 0; connects < kMaxConnects && net::Now() < until &&
+                         error != net::asio::error::connection_refused;
        ++connects) {
     auto opened = std::make_shared<EndpointConnection>(gateway.executor, endpoint);
     error = co_await Connect(gateway, endpoint->entry.address, opened->stream);
     if (error) {
       continue;
     }
-    const InstanceQuery::Reply reply = co_await ReplyOn(opened, path);
-    if (reply == InstanceQuery::Reply::kSame) {
+    const InstanceQuery::Reply reply = co_await ReplyOn(opened, path, until);
+    if (reply == InstanceQuery::Reply::kSame && !was_lost) {
       co_return path.empty() ? LifeSign::kAccepted : LifeSign::kHealthAnswer;
     }
     if (reply == InstanceQuery::Reply::kOther) {
@@ -184,9 +187,10 @@
     if (gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
       co_return LifeSign::kOtherAnswer;
     }
-    if (reply == InstanceQuery::Reply::kSilent) {
+    if (reply != InstanceQuery::Reply::kLost) {
       co_return LifeSign::kNone;
     }
+    was_lost = true;
     if (gateway.idle_connections.IsOpen(endpoint->incarnation)) {
       co_return LifeSign::kIdleConnection;
     }
@@ -195,7 +199,7 @@
   }
   // Where this node is cut off since, a peer may still tell.
   co_return error == net::beast::error::timeout
-      ? co_await FindSignThroughPeer(gateway, endpoint, path)
+      ? co_await FindSignThroughPeer(gateway, endpoint, path, until)
       : LifeSign::kNone;
 }
 
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -24,9 +24,11 @@
   /// Looks for a sign that an endpoint is alive after a connection to it has ended in good order:
   /// an answer to a health call, or, of one that is full, other answers or an open idle connection.
   /// @param connection ended; the check is made directly or through a peer, as it was opened.
+  /// @param until time limit.
   /// @return LifeSign::kNone also if this can't be told.
   [[nodiscard]] static net::asio::awaitable<LifeSign> FindLifeSign(
-      Gateway& gateway, std::shared_ptr<const EndpointConnection> connection);
+      Gateway& gateway, std::shared_ptr<const EndpointConnection> connection,
+      net::SteadyTime until);
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -42,7 +42,7 @@
     this->silence.Start(AttemptPolicy::SilentWithoutAnswerAt(*this->routed.route, start,
                                                              this->routed.deadline, true));
   }
-  BodyPiece body = co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->routed.deadline);
+  BodyPiece body = co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->AttemptLimit());
   this->silence.Stop();
   if (this->cancel.IsCancelled()) {
     co_return Step::kCancelled;
@@ -85,11 +85,14 @@
   const bool must_be_confirmed = this->NeedsConfirmation(answer, body);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
   const bool is_confirmed = this->unconfirmed && response.body() == this->unconfirmed->body();
-  // Of two answers without framing, only the shorter one can have been cut.
-  const bool is_shorter = answer.framing == AnswerFraming::kConnection && this->unconfirmed &&
-                          response.body().size() < this->unconfirmed->body().size();
-  net::Response longest = is_shorter ? std::move(*this->unconfirmed) : std::move(response);
+  // An answer without framing that is the beginning of another one has been cut.
+  const bool is_cut = answer.framing == AnswerFraming::kConnection && this->unconfirmed &&
+                      this->unconfirmed->body().starts_with(response.body());
+  net::Response longest = is_cut ? std::move(*this->unconfirmed) : std::move(response);
   if (must_be_confirmed && !is_confirmed) {
+    if (!this->unconfirmed) {
+      this->confirm_until = net::Now() + kLongestConfirmation;
+    }
     this->unconfirmed = std::move(longest);
     co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
   }
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -58,7 +58,8 @@
 }
 
 awaitable<OnlineRun::Step> OnlineRun::AfterNoPath() {
-  if (this->HasBegun() && this->MayRetry() && net::Now() + kRepeatPause < this->routed.deadline) {
+  const bool may_wait = this->HasBegun() && this->MayRetry() && !this->HasUnconfirmedEnd();
+  if (may_wait && net::Now() + kRepeatPause < this->routed.deadline) {
     this->tried.clear();
     co_await this->Pause(kRepeatPause);
     co_return Step::kRetry;
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -240,9 +240,8 @@
 }
 
 net::SteadyTime OnlineRun::AttemptLimit() const {
-  const bool is_confirmation = this->stream_begun && this->end_claims.IsClaimedWithoutFraming();
-  return is_confirmation ? std::min(this->routed.deadline, this->confirm_until)
-                         : this->routed.deadline;
+  return this->HasUnconfirmedEnd() ? std::min(this->routed.deadline, this->confirm_until)
+                                   : this->routed.deadline;
 }
 
 bool OnlineRun::LeaveSilentEndpoint() {
