--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -52,7 +52,7 @@
   static constexpr std::string_view kEndUnconfirmedCause = "end_unconfirmed";
   /// Longest wait for a slot at an endpoint that is to confirm the end of an answer.
   static constexpr std::chrono::milliseconds kConfirmationWait{200};
-  /// Until a stream ends that no second endpoint has confirmed. It is shorter than the 2 s after
+  /// Longest time in which a second endpoint confirms an answer. It is shorter than the 2 s after
   /// which callers drop a silent stream.
   static constexpr std::chrono::milliseconds kLongestConfirmation{1800};
   /// Until a request that has begun is sent again after every endpoint refused or failed.
@@ -96,7 +96,7 @@
     return this->stream_begun ? this->end_claims.IsClaimedWithoutFraming()
                               : this->unconfirmed.has_value();
   }
-  /// Time limit of an attempt: the request's, or an earlier one if it only confirms a stream's end.
+  /// Time limit of an attempt: the request's, or an earlier one if it only confirms an answer.
   [[nodiscard]] net::SteadyTime AttemptLimit() const;
   /// Ends the request with that answer, as no other endpoint contradicts it.
   net::asio::awaitable<void> DeliverUnconfirmed();
@@ -175,7 +175,7 @@
   std::size_t unfinished_bytes = 0;          ///< of a streamed one, after its last complete event
   StreamSequence sequence;
   EndClaims end_claims;
-  net::SteadyTime confirm_until;  ///< since the first of those claims
+  net::SteadyTime confirm_until;  ///< time limit of attempts that confirm an answer
   /// Answer without framing that no other endpoint has confirmed yet.
   std::optional<net::Response> unconfirmed;
   net::SteadyTime first_event;
