Ask peers for a sign of life by the loop that asks them for a connection

Cause: FindSignThroughPeer had a loop of its own beside IsAcceptedThroughPeer. It did not keep in mind which peers had dropped the connection, so it could ask the same one three times, and it did not record what the connections show of the path. Change: LookThroughPeers is that loop, with what is looked at as a parameter; OpenThroughAnyPeer is gone. No test shows a peer that was asked twice.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -91,10 +92,11 @@
   net::asio::awaitable<bool> IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
                                                    std::chrono::milliseconds drop_limit);
 
-  /// Opens a connection to an endpoint through a peer, though this node may reach it itself.
-  /// @param connection not connected. @param until time limit.
-  /// @return whether a peer has connected it.
-  net::asio::awaitable<bool> OpenThroughAnyPeer(Connection connection, net::SteadyTime until);
+  /// Looks at an open connection to an endpoint. @return whether it was not dropped.
+  using Look = std::function<net::asio::awaitable<bool>(Connection connection)>;
+
+  /// As IsAcceptedThroughPeer(), but the calling code looks at the connections.
+  net::asio::awaitable<bool> LookThroughPeers(std::shared_ptr<EndpointState> endpoint, Look look);
 
   /// Records bytes of an answer.
   void RecordAnswer() { this->evidence.RecordAnswer(net::Now()); }
@@ -124,11 +126,13 @@
                                                             net::SteadyTime until,
                                                             CancelScope* cancel,
                                                             std::vector<Address> tried = {});
-  /// As IsAcceptedThroughPeer(), but asks one peer. @param tried peers that are not asked; gets the
+  /// As LookThroughPeers(), but asks one peer. @param tried peers that are not asked; gets the
   /// peer through which the connection was dropped. @return no value if no peer could tell.
   net::asio::awaitable<std::optional<bool>> TryThroughPeer(std::shared_ptr<EndpointState> endpoint,
-                                                           std::chrono::milliseconds drop_limit,
+                                                           const Look& look,
                                                            std::vector<Address>& tried);
+  /// Tells from a connection whether it is dropped within a time.
+  [[nodiscard]] Look LookForDrop(std::chrono::milliseconds limit);
   /// Tells whether a connection is dropped soon after it was opened. Ends the connection.
   net::asio::awaitable<bool> IsDropped(net::beast::tcp_stream& stream,
                                        std::chrono::milliseconds limit);
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -105,15 +105,12 @@
     co_return is_accepted ? LifeSign::kAccepted : LifeSign::kNone;
   }
   InstanceQuery::Reply reply = InstanceQuery::Reply::kLost;
-  for (int asked = 0; asked < kMaxConnects && reply == InstanceQuery::Reply::kLost; ++asked) {
-    auto opened = std::make_shared<EndpointConnection>(gateway.executor, endpoint);
-    const net::SteadyTime limit = std::min(until, net::Now() + kAnswerLimit);
-    const bool is_open = co_await gateway.paths.OpenThroughAnyPeer(opened, limit);
-    if (!is_open) {
-      break;
-    }
-    reply = co_await InstanceQuery::Ask(opened, health_path, limit);
-  }
+  const EndpointPaths::Look look =
+      [&](std::shared_ptr<EndpointConnection> opened) -> awaitable<bool> {
+    reply = co_await ReplyOn(std::move(opened), health_path, until);
+    co_return reply != InstanceQuery::Reply::kLost;
+  };
+  co_await gateway.paths.LookThroughPeers(endpoint, look);
   co_return reply == InstanceQuery::Reply::kSame ? LifeSign::kHealthAnswer : LifeSign::kNone;
 }
 
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -191,15 +191,6 @@
   co_return false;
 }
 
-awaitable<bool> EndpointPaths::OpenThroughAnyPeer(Connection connection, net::SteadyTime until) {
-  if (!this->peers) {
-    co_return false;
-  }
-  const std::optional<bool> reached =
-      co_await this->OpenThroughPeer(std::move(connection), until, nullptr);
-  co_return reached.value_or(false);
-}
-
 awaitable<bool> EndpointPaths::IsReachedByPeer(EndpointEntry entry, std::uint32_t key,
                                                net::SteadyTime started) {
   this->evidence.RecordDirect(key, false, started, net::Now());
@@ -213,11 +204,23 @@
   co_return co_await this->IsAcceptedThroughPeer(std::move(endpoint), relay::DropLimit::kMin);
 }
 
+EndpointPaths::Look EndpointPaths::LookForDrop(milliseconds limit) {
+  return [this, limit](Connection connection) -> awaitable<bool> {
+    co_return !co_await this->IsDropped(connection->stream, limit);
+  };
+}
+
 awaitable<bool> EndpointPaths::IsAcceptedThroughPeer(std::shared_ptr<EndpointState> endpoint,
                                                      milliseconds drop_limit) {
+  const Look look = this->LookForDrop(drop_limit);
+  co_return co_await this->LookThroughPeers(std::move(endpoint), look);
+}
+
+awaitable<bool> EndpointPaths::LookThroughPeers(std::shared_ptr<EndpointState> endpoint,
+                                                Look look) {
   std::vector<Address> tried;
   for (std::size_t peers_asked = 0; peers_asked < kMaxPeersAsked; ++peers_asked) {
-    const std::optional<bool> accepted = co_await this->TryThroughPeer(endpoint, drop_limit, tried);
+    const std::optional<bool> accepted = co_await this->TryThroughPeer(endpoint, look, tried);
     if (!accepted || *accepted) {
       co_return accepted.value_or(false);
     }
@@ -226,7 +229,7 @@
 }
 
 awaitable<std::optional<bool>> EndpointPaths::TryThroughPeer(
-    std::shared_ptr<EndpointState> endpoint, milliseconds drop_limit, std::vector<Address>& tried) {
+    std::shared_ptr<EndpointState> endpoint, const Look& look, std::vector<Address>& tried) {
   if (!this->peers) {
     co_return std::nullopt;
   }
@@ -236,11 +239,11 @@
   if (!reached.value_or(false)) {
     co_return std::nullopt;
   }
-  const bool is_dropped = co_await this->IsDropped(connection->stream, drop_limit);
-  this->evidence.RecordThroughPeer(endpoint->key, !is_dropped, net::Now());
+  const bool is_accepted = co_await look(connection);
+  this->evidence.RecordThroughPeer(endpoint->key, is_accepted, net::Now());
   this->ReportChanges();
   tried.push_back(*connection->through);
-  co_return !is_dropped;
+  co_return is_accepted;
 }
 
 awaitable<void> EndpointPaths::ProbeDirect(std::shared_ptr<EndpointState> endpoint) {
@@ -258,8 +261,9 @@
 
 awaitable<void> EndpointPaths::ProbeThroughPeer(std::shared_ptr<EndpointState> endpoint) {
   const OpenProbe open(this->open_probes);
+  const Look look = this->LookForDrop(this->drop_limit.Current(net::Now()));
   std::vector<Address> tried;
-  co_await this->TryThroughPeer(endpoint, this->drop_limit.Current(net::Now()), tried);
+  co_await this->TryThroughPeer(endpoint, look, tried);
 }
 
 std::shared_ptr<EndpointState> EndpointPaths::Find(std::uint32_t key) const {
