Name the states of a streamed answer beside them, and an item's end only once

Cause: the names stood in item_run.cc, far from the states, and a text was made at each part of an item's answer for a line that is written at its end. Change: NameOf(StreamState) in answer_stream; the end is named when the answer ends. The lines are the same.

--- a/src/gateway/internal/answer_stream.cc
+++ b/src/gateway/internal/answer_stream.cc
@@ -2,6 +2,32 @@
 
 namespace lentilhead::gateway::internal {
 
+std::string_view NameOf(StreamState state) {
+  switch (state) {
+    case StreamState::kMore:
+      return "open";
+    case StreamState::kComplete:
+      return "complete";
+    case StreamState::kEmpty:
+      return "empty";
+    case StreamState::kUnproven:
+      return "unproven";
+    case StreamState::kUnframed:
+      return "unframed";
+    case StreamState::kBroken:
+      return "cut";
+    case StreamState::kForeign:
+      return "foreign_bytes";
+    case StreamState::kMisplaced:
+      return "misplaced_event";
+    case StreamState::kTimedOut:
+      return "silent";
+    case StreamState::kOverLimit:
+      return "over_limit";
+  }
+  return "unknown";
+}
+
 StreamState AnswerStream::StateAfter(BodyState body) const {
   switch (body) {
     case BodyState::kMore:
--- a/src/gateway/internal/answer_stream.h
+++ b/src/gateway/internal/answer_stream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <vector>
 
 #include "gateway/internal/endpoint_attempt.h"
@@ -23,6 +24,9 @@
   kOverLimit,  ///< the answer exceeds one of AnswerLimits
 };
 
+/// Name of a state in logs.
+[[nodiscard]] std::string_view NameOf(StreamState state);
+
 /// Events of a streamed answer from one read.
 struct StreamPart {
   std::vector<StreamEvent> events;  ///< that continue the stream; repeated ones are left out
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -43,33 +43,6 @@
   }
 }
 
-/// Name in logs of the state that a streamed answer ended in.
-std::string_view EndName(StreamState state) {
-  switch (state) {
-    case StreamState::kMore:
-      return "open";
-    case StreamState::kComplete:
-      return "complete";
-    case StreamState::kEmpty:
-      return "empty";
-    case StreamState::kUnproven:
-      return "unproven";
-    case StreamState::kUnframed:
-      return "unframed";
-    case StreamState::kBroken:
-      return "cut";
-    case StreamState::kForeign:
-      return "foreign_bytes";
-    case StreamState::kMisplaced:
-      return "misplaced_event";
-    case StreamState::kTimedOut:
-      return "silent";
-    case StreamState::kOverLimit:
-      return "over_limit";
-  }
-  return "unknown";
-}
-
 /// Appends the data of events that continue the output.
 void AppendEvents(ItemProgress& progress, const std::vector<StreamEvent>& events) {
   for (const StreamEvent& event : events) {
@@ -212,12 +185,14 @@
       waiting_since = arrival;
     }
     if (output_bytes > gateway::AnswerLimits::kMaxItemOutputBytes) {
-      this->end = EndName(StreamState::kOverLimit);
+      this->end = NameOf(StreamState::kOverLimit);
       stream.AbortOverLimit(gateway::AnswerBound::kItemOutput, output_bytes);
       this->RecordFailure(false);
       co_return ItemRunOutcome::kOverLimit;
     }
-    this->end = EndName(part.state);
+    if (part.state != StreamState::kMore) {
+      this->end = NameOf(part.state);
+    }
     if (part.state == StreamState::kComplete) {
       co_return ItemRunOutcome::kComplete;
     }
