Count final outcomes of requests in one place

Cause: two places counted an outcome for the metric and for service_lost, one after the other; refusals for want of memory were counted for the metric only, so service_lost did not tell them. Change: Gateway::CountOutcome does both, for them as well. Rejections and quotas stay out of service_lost, as they are the callers' doing. Measured: gateway_tests 193 pass; no test of its own for refusals for want of memory.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,16 @@
   /// Whether requests can be served.
   [[nodiscard]] bool CanServe() const { return this->HasClusterState() && this->evidence_loaded; }
 
+  /// Counts the final outcome of an online request that was served, or that this node did not
+  /// serve for a reason of its own or of the endpoints.
+  void CountOutcome(std::string_view outcome, std::string_view reason) {
+    this->metrics
+        .GetCounter("gateway_requests_total",
+                    {{"outcome", std::string(outcome)}, {"reason", std::string(reason)}})
+        .Add();
+    this->outcomes.Record(outcome == "served", reason);
+  }
+
   net::asio::any_io_executor executor;
   RouteTable routes;
   EndpointRegistry registry;
--- a/src/gateway/internal/caller_server.cc
+++ b/src/gateway/internal/caller_server.cc
@@ -190,9 +190,7 @@
       .With("held_in_all", this->gateway.memory.Held())
       .With("limit", this->gateway.memory.Limit())
       .With("retry_after_ms", retry_after.count());
-  this->gateway.metrics
-      .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", kNoMemory}})
-      .Add();
+  this->gateway.CountOutcome("refused", kNoMemory);
   co_await session.Send(MakeRefusalResponse(kNoMemory, retry_after), net::Now() + kWriteTimeout);
 }
 
@@ -232,10 +230,7 @@
       .With("config", this->gateway.routes.Version())
       .With("endpoints_loaded", this->gateway.endpoints_loaded)
       .With("evidence_loaded", this->gateway.evidence_loaded);
-  this->gateway.outcomes.Record(false, reason);
-  this->gateway.metrics
-      .GetCounter("gateway_requests_total", {{"outcome", "refused"}, {"reason", reason}})
-      .Add();
+  this->gateway.CountOutcome("refused", reason);
   net::Response response = MakeRefusalResponse(reason, retry_after);
   co_await session.Send(std::move(response), net::Now() + kWriteTimeout);
 }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -56,10 +56,7 @@
 }
 
 void OnlineRun::Count(const char* outcome, std::string_view reason) {
-  this->gateway.metrics
-      .GetCounter("gateway_requests_total", {{"outcome", outcome}, {"reason", std::string(reason)}})
-      .Add();
-  this->gateway.outcomes.Record(std::string_view(outcome) == "served", reason);
+  this->gateway.CountOutcome(outcome, reason);
   const auto duration = net::Now() - this->routed.arrival;
   this->gateway.metrics.GetLatency("gateway_request_seconds", {{"outcome", outcome}})
       .Record(duration);
