Look for a second answer inside the body of the first one

What callers saw: a 200 with a length whose body lacked a part of the endpoint's, with the head of an answer in its place.

Cause: an endpoint that breaks a body off, keeps the connection open and writes its whole answer once more, late, fills the missing bytes with the head of the second answer. The same happened in a head: a value that was cut went on with the second head, so that the fields and the length of both counted.

Change: while a body is read, SecondAnswerScan looks for a status line and, behind it, the id of the request; a head that the end of the body cuts is followed into the bytes behind it, for 50 ms at most. A body in which a head is found is broken: another endpoint is asked where the request may run again, else 502. A second answer behind a whole body changes nothing, as before. A head with a status line in a value is malformed.

Left: a body that lacks fewer than seven bytes, if the next bytes of the second answer arrive in another segment; a second answer without head.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -313,6 +313,7 @@
 awaitable<net::ErrorCode> EndpointAttempt::ReadNextHead(bool is_head_request,
                                                         net::SteadyTime until) {
   this->parser = std::make_unique<Parser>();
+  this->scan.emplace(this->request_id);
   this->parser->header_limit(AnswerLimits::kMaxHeadBytes);
   this->parser->body_limit(boost::none);
   this->parser->skip(is_head_request);
@@ -342,6 +343,10 @@
       this->ReportMalformed(net::NameOf(*problem));
       co_return AttemptFailure::kUnknown;
     }
+    if (platform::IsJoined(this->parser->get().base())) {
+      this->ReportMalformed("second_head");
+      co_return AttemptFailure::kUnknown;
+    }
     const bool is_interim = this->parser->get().result_int() / 100 == 1;
     if (is_interim && ++interim_heads > AnswerLimits::kMaxInterimHeads) {
       this->AbortOverLimit(AnswerBound::kInterimHeads, interim_heads);
@@ -446,10 +451,17 @@
 
 awaitable<BodyPiece> EndpointAttempt::ReadPiece(net::SteadyTime until) {
   BodyPiece piece = co_await this->ReadPart(until);
-  if (piece.state == BodyState::kEnd) {
-    piece.state = co_await this->StateAtEnd(until);
-    this->Finish();
+  if (piece.state != BodyState::kEnd) {
+    co_return piece;
+  }
+  const bool has_second_answer = co_await this->EndsInSecondAnswer(until);
+  if (has_second_answer) {
+    piece = {{}, piece.received, BodyState::kBroken};
+    this->AbortAtSecondAnswer();
+    co_return piece;
   }
+  piece.state = co_await this->StateAtEnd(until);
+  this->Finish();
   co_return piece;
 }
 
@@ -469,6 +481,11 @@
       this->AbortAfter(error);
       co_return piece;
     }
+    this->scan->Add(piece.bytes);
+    if (this->scan->IsFound()) {
+      this->AbortAtSecondAnswer();
+      co_return BodyPiece{{}, piece.received, BodyState::kBroken};
+    }
     if (this->received > AnswerLimits::kMaxAnswerBytes) {
       piece.state = BodyState::kOverLimit;
       this->AbortOverLimit(AnswerBound::kAnswer, this->received);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -19,6 +19,7 @@
 #include "gateway/types/endpoint_answer.h"
 #include "gateway/types/open_attempt.h"
 #include "net/held_bytes.h"
+#include "platform/second_answer_scan.h"
 
 namespace lentilhead::gateway {
 struct Gateway;
@@ -159,6 +160,11 @@
   /// State of a body that was received up to its end. Without framing, the end of a connection that
   /// was reset, or whose endpoint or peer has died, is not that of the answer.
   net::asio::awaitable<BodyState> StateAtEnd(net::SteadyTime until);
+  /// Whether a second answer to the request begins in the body, which has been received to its end.
+  /// @param until time limit of the answer.
+  net::asio::awaitable<bool> EndsInSecondAnswer(net::SteadyTime until);
+  /// Logs and counts a body that goes on with a second answer, and closes the connection.
+  void AbortAtSecondAnswer();
   /// Adapts the size of the next read to the answer and to the memory budget.
   void SizeBuffer();
   /// Counts the bytes held in the memory budget. @param collected bytes handed on together later.
@@ -170,6 +176,7 @@
   CancelScope& cancel;
   std::shared_ptr<EndpointConnection> connection;
   std::unique_ptr<Parser> parser;
+  std::optional<platform::SecondAnswerScan> scan;  ///< of the body of the current answer
   net::HeldBytes held;  ///< what was read of the answer and not handed on
   std::string request_id;
   AttemptTarget target;
