Believe no end without framing that nobody confirmed, where the request may run again

What callers saw: a 200 with a length and a part of the endpoint's body, or a stream that ended as complete before its last event.

Cause: an endpoint that breaks an answer without framing off in good order, or that is lost while something with its id answers the health call, claims an end. If the endpoint that was to confirm it was lost, silent, full or refused, or no attempt was left, the claim was passed on as a whole answer (DeliverUnconfirmed).

Change: the endpoint that claimed the end is asked once more where no other one can be asked (max-attempts counts endpoints, so this needs no attempt). Bodies that end at the same byte confirm each other; where one goes on behind the other, the longer one is the new claim; where the content varies from run to run, the longer one is passed on.

Cost: a service with one endpoint that never frames its answers runs each twice.

--- /dev/null
+++ b/src/gateway/internal/online_confirmation.cc
@@ -0,0 +1,88 @@
+#include "gateway/internal/answers.h"
+#include "gateway/internal/online_run.h"
+#include "gateway/types/body_relation.h"
+
+namespace lentilhead::gateway::internal {
+
+namespace {
+
+using net::asio::awaitable;
+using net::http::status;
+
+/// Ids of all endpoints but one.
+std::vector<std::string> AllBut(const EndpointRegistry& registry, const std::string& endpoint) {
+  std::vector<std::string> others;
+  for (const auto& [id, state] : registry.All()) {
+    if (id != endpoint) {
+      others.push_back(id);
+    }
+  }
+  return others;
+}
+
+}  // namespace
+
+void OnlineRun::NoteClaim() {
+  this->claimer = this->last_endpoint;
+  this->is_claimer_asked = false;
+  this->confirm_until = net::Now() + kLongestConfirmation;
+}
+
+awaitable<OnlineRun::Step> OnlineRun::ConfirmBody(const EndpointLease& lease,
+                                                  net::Response response) {
+  const BodyRelation relation = this->unconfirmed
+                                    ? RelationOf(this->unconfirmed->body(), response.body())
+                                    : BodyRelation::kFirstIsCut;
+  switch (relation) {
+    case BodyRelation::kSame:
+      co_return co_await this->DeliverWholeAnswer(std::move(response));
+    case BodyRelation::kVaries: {
+      const bool is_longer = response.body().size() > this->unconfirmed->body().size();
+      net::Response longer = is_longer ? std::move(response) : std::move(*this->unconfirmed);
+      co_return co_await this->DeliverWholeAnswer(std::move(longer));
+    }
+    case BodyRelation::kFirstIsCut:
+      this->unconfirmed = std::move(response);
+      this->NoteClaim();
+      break;
+    case BodyRelation::kSecondIsCut:
+      // Tells nothing of the end of the first one, which may be asked for once more.
+      this->is_claimer_asked = std::exchange(this->was_confirmation_cut, true);
+      break;
+  }
+  co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
+}
+
+awaitable<OnlineRun::Step> OnlineRun::AskAgain() {
+  if (std::exchange(this->is_claimer_asked, true) || net::Now() >= this->AttemptLimit()) {
+    co_await this->EndUnconfirmed();
+    co_return Step::kDone;
+  }
+  ChoiceRequest choice = this->MakeChoice();
+  choice.excluded = AllBut(this->gateway.registry, this->claimer);
+  choice.has_begun = true;
+  AdmissionOutcome admitted =
+      co_await this->gateway.admission.Acquire(std::move(choice), this->MakeTerms(), this->cancel);
+  if (this->cancel.IsCancelled()) {
+    co_return Step::kCancelled;
+  }
+  if (!admitted.lease) {
+    co_await this->EndUnconfirmed();
+    co_return Step::kDone;
+  }
+  co_return co_await this->TryEndpoint(std::move(admitted.lease));
+}
+
+awaitable<void> OnlineRun::EndUnconfirmed() {
+  this->Count("failed", kEndUnconfirmedCause);
+  if (this->stream_begun) {
+    this->LogOutcome("cut", kEndUnconfirmedCause, 0);
+    this->session.Abort();
+    co_return;
+  }
+  this->LogOutcome("failed", kEndUnconfirmedCause, static_cast<int>(status::bad_gateway));
+  net::Response response = MakeErrorResponse(status::bad_gateway, kEndUnconfirmedCause);
+  co_await this->session.Send(std::move(response), this->WriteLimit());
+}
+
+}  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -65,6 +65,9 @@
   if (answer.head.result() == status::internal_server_error) {
     EndpointFeedback::RecordErrorAnswer(lease.Endpoint(), net::Now());
   }
+  if (this->unconfirmed && code / 100 != 2) {
+    co_return co_await this->AfterFailure(lease, "endpoint_error");
+  }
   if (is_false_refusal) {
     co_await this->Fail(status::bad_gateway, "endpoint_error");
     co_return Step::kDone;
@@ -72,9 +75,6 @@
   if (answer.decoded.is_signed && !answer.decoded.not_executed) {
     this->RecordAnswer(code / 100 == 2);
   }
-  if (this->unconfirmed && code / 100 != 2) {
-    co_return co_await this->DeliverWholeAnswer(std::move(*this->unconfirmed));
-  }
   if (body.state == BodyState::kMore) {
     co_return co_await this->ForwardLargeAnswer(attempt, lease, std::move(answer),
                                                 std::move(body.bytes));
@@ -84,26 +84,16 @@
   this->work.RecordAnswer(lease, net::Now());
   const bool must_be_confirmed = this->NeedsConfirmation(answer, body);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
-  const bool is_confirmed = this->unconfirmed && response.body() == this->unconfirmed->body();
-  // An answer without framing that is the beginning of another one has been cut.
-  const bool is_cut = answer.framing == AnswerFraming::kConnection && this->unconfirmed &&
-                      this->unconfirmed->body().starts_with(response.body());
-  net::Response longest = is_cut ? std::move(*this->unconfirmed) : std::move(response);
-  if (must_be_confirmed && !is_confirmed) {
-    if (!this->unconfirmed) {
-      this->confirm_until = net::Now() + kLongestConfirmation;
-    }
-    this->unconfirmed = std::move(longest);
-    co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
+  if (!must_be_confirmed) {
+    co_return co_await this->DeliverWholeAnswer(std::move(response));
   }
-  co_return co_await this->DeliverWholeAnswer(std::move(longest));
+  co_return co_await this->ConfirmBody(lease, std::move(response));
 }
 
 bool OnlineRun::NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const {
   const bool is_success = answer.head.result_int() / 100 == 2;
   return is_success && body.state == BodyState::kEnd &&
-         answer.framing == AnswerFraming::kConnection && this->routed.IsRepeatable() &&
-         this->MayRetry();
+         answer.framing == AnswerFraming::kConnection && this->routed.IsRepeatable();
 }
 
 awaitable<OnlineRun::Step> OnlineRun::DeliverWholeAnswer(net::Response response) {
@@ -201,14 +191,6 @@
   co_return Step::kDone;
 }
 
-awaitable<void> OnlineRun::DeliverUnconfirmed() {
-  if (this->stream_begun) {
-    co_await this->EndBegunStream(true, static_cast<int>(status::ok));
-  } else {
-    co_await this->DeliverWholeAnswer(std::move(*this->unconfirmed));
-  }
-}
-
 std::string_view OnlineRun::StreamCauseOf(StreamState state, bool was_silent) {
   switch (state) {
     case StreamState::kOverLimit:
@@ -236,12 +218,13 @@
                                       ? this->end_claims.AddWithoutFraming(this->last_endpoint)
                                       : this->end_claims.Add(this->last_endpoint);
   if (claim == EndClaims::Result::kFirst) {
-    this->confirm_until = net::Now() + kLongestConfirmation;
+    this->NoteClaim();
   }
+  const bool is_said_again = claim == EndClaims::Result::kSame && this->is_claimer_asked;
   // The endpoint that sent the last event was alive after it.
   const bool can_not_be_asked = this->end_claims.IsClaimedWithoutFraming() &&
-                                !(this->routed.IsRepeatable() && this->MayRetry());
-  if (claim == EndClaims::Result::kConfirmed || can_not_be_asked) {
+                                !(this->routed.IsRepeatable() && this->sequence.MayResume());
+  if (claim == EndClaims::Result::kConfirmed || is_said_again || can_not_be_asked) {
     co_return co_await this->EndStream(answer);
   }
   co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
--- a/src/gateway/internal/online_failure.cc
+++ b/src/gateway/internal/online_failure.cc
@@ -139,6 +139,9 @@
     co_await this->Pause(std::exchange(this->retry_pause, milliseconds(0)));
     co_return Step::kRetry;
   }
+  if (this->HasUnconfirmedEnd()) {
+    co_return Step::kUnconfirmed;
+  }
   co_await this->Fail(status::bad_gateway, cause);
   co_return Step::kDone;
 }
@@ -182,6 +185,9 @@
   if (this->MayRetry() && net::Now() < this->routed.deadline) {
     co_return Step::kRetry;
   }
+  if (this->HasUnconfirmedEnd()) {
+    co_return Step::kUnconfirmed;
+  }
   co_await this->Refuse("endpoint_full");
   co_return Step::kDone;
 }
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -104,7 +104,7 @@
 
 awaitable<void> OnlineRun::Refuse(std::string_view reason, milliseconds wait) {
   if (this->HasUnconfirmedEnd()) {
-    co_await this->DeliverUnconfirmed();
+    co_await this->EndUnconfirmed();
     co_return;
   }
   if (this->stream_begun) {
@@ -166,7 +166,7 @@
 
 awaitable<void> OnlineRun::Fail(status code, std::string_view reason) {
   if (this->HasUnconfirmedEnd()) {
-    co_await this->DeliverUnconfirmed();
+    co_await this->EndUnconfirmed();
     co_return;
   }
   this->Count("failed", reason);
@@ -206,10 +206,7 @@
   return choice;
 }
 
-awaitable<AdmissionOutcome> OnlineRun::AcquireSlot() {
-  if (this->next) {
-    co_return AdmissionOutcome{std::move(this->next), NoChoice::kChosen};
-  }
+WaitTerms OnlineRun::MakeTerms() const {
   WaitTerms terms;
   terms.priority = this->routed.Priority();
   terms.customer = this->CustomerKey();
@@ -223,6 +220,14 @@
     terms.objectives = WaitObjectives{this->routed.arrival, this->routed.route->target_latency,
                                       this->routed.deadline};
   }
+  return terms;
+}
+
+awaitable<AdmissionOutcome> OnlineRun::AcquireSlot() {
+  if (this->next) {
+    co_return AdmissionOutcome{std::move(this->next), NoChoice::kChosen};
+  }
+  const WaitTerms terms = this->MakeTerms();
   ChoiceRequest choice = this->MakeChoice();
   choice.has_begun = this->HasBegun();
   AdmissionOutcome admitted = co_await this->gateway.admission.Acquire(choice, terms, this->cancel);
@@ -266,7 +271,11 @@
 
 awaitable<void> OnlineRun::Run() {
   Step step = Step::kRetry;
-  while (step == Step::kRetry && !this->cancel.IsCancelled()) {
+  while ((step == Step::kRetry || step == Step::kUnconfirmed) && !this->cancel.IsCancelled()) {
+    if (step == Step::kUnconfirmed) {
+      step = co_await this->AskAgain();
+      continue;
+    }
     const net::SteadyTime now = net::Now();
     if (now >= this->AttemptLimit()) {
       co_await this->EndAtDeadline();
@@ -286,6 +295,10 @@
     if (this->cancel.IsCancelled()) {
       break;
     }
+    if (!admitted.lease && this->HasUnconfirmedEnd()) {
+      step = Step::kUnconfirmed;
+      continue;
+    }
     if (!admitted.lease) {
       if (admitted.permit_wait) {
         co_await this->Refuse("endpoint_limits", RefusalPolicy::RetryAfterPermit(
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -33,9 +33,10 @@
 
  private:
   enum class Step {
-    kDone,       ///< the caller has the final answer or has disconnected
-    kRetry,      ///< another attempt follows
-    kCancelled,  ///< the request was cancelled before its final answer
+    kDone,         ///< the caller has the final answer or has disconnected
+    kRetry,        ///< another attempt follows
+    kUnconfirmed,  ///< no other endpoint can confirm the end of an answer
+    kCancelled,    ///< the request was cancelled before its final answer
   };
 
   /// Answers up to this size are received completely before any byte is forwarded, so that a
@@ -61,6 +62,8 @@
   static constexpr std::chrono::milliseconds kSuspicionCheckPeriod{20};
 
   net::asio::awaitable<AdmissionOutcome> AcquireSlot();
+  /// How long and with which rank the request waits for a slot.
+  [[nodiscard]] WaitTerms MakeTerms() const;
   net::asio::awaitable<Step> TryEndpoint(EndpointLease lease);
   /// Cause for which an answer fails the attempt whatever its body is.
   /// @return no value if the answer may be passed on.
@@ -91,15 +94,22 @@
   [[nodiscard]] bool NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const;
   /// Sends the caller an answer of the last endpoint.
   net::asio::awaitable<Step> DeliverWholeAnswer(net::Response response);
-  /// Whether the caller could be sent an answer whose end no second endpoint has confirmed.
+  /// Whether an answer without framing has ended and no second one has confirmed its end.
   [[nodiscard]] bool HasUnconfirmedEnd() const {
     return this->stream_begun ? this->end_claims.IsClaimedWithoutFraming()
                               : this->unconfirmed.has_value();
   }
   /// Time limit of an attempt: the request's, or an earlier one if it only confirms an answer.
   [[nodiscard]] net::SteadyTime AttemptLimit() const;
-  /// Ends the request with that answer, as no other endpoint contradicts it.
-  net::asio::awaitable<void> DeliverUnconfirmed();
+  /// Records that the last endpoint claims the end of an answer, which is to be confirmed.
+  void NoteClaim();
+  /// Passes a body without framing on if it confirms the one before, or is confirmed by it.
+  net::asio::awaitable<Step> ConfirmBody(const EndpointLease& lease, net::Response response);
+  /// Lets the endpoint that claimed the end confirm it by another answer: an end that was caused by
+  /// a fault seldom comes twice at the same byte.
+  net::asio::awaitable<Step> AskAgain();
+  /// Ends a request whose answer may be a part: by an error, or by cutting its stream.
+  net::asio::awaitable<void> EndUnconfirmed();
   /// Cause of a failed attempt whose stream is in `state`.
   [[nodiscard]] static std::string_view StreamCauseOf(StreamState state, bool was_silent);
   /// Whether the connection to an endpoint was lost before the whole answer was received.
@@ -178,6 +188,9 @@
   net::SteadyTime confirm_until;  ///< time limit of attempts that confirm an answer
   /// Answer without framing that no other endpoint has confirmed yet.
   std::optional<net::Response> unconfirmed;
+  std::string claimer;                ///< endpoint that sent the answer whose end is not confirmed
+  bool is_claimer_asked = false;      ///< to confirm that end itself
+  bool was_confirmation_cut = false;  ///< an answer that was to confirm an end was shorter
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
 };
