Believe no process that may have been started after the end of an answer

Cause: the health call compares the id of an endpoint only. A node that halts reads the end of an answer after it goes on, when a process with the same id may listen already, and takes the answer of that process for a sign that the first one was alive.

Change: the event loop records beats every 20 ms. An end is dated by the beat before the last one, at the earliest. Through peers, the halt of this node counts alike. Bytes of another answer count as a sign of life by their earliest arrival, not by the time of reading.

--- a/src/gateway/endpoint_paths.h
+++ b/src/gateway/endpoint_paths.h
@@ -10,8 +10,10 @@
 #include "gateway/cancel_scope.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/internal/endpoint_connection.h"
+#include "gateway/types/answer_end_time.h"
 #include "gateway/types/connect_outcome.h"
 #include "gateway/types/open_attempt.h"
+#include "net/loop_beats.h"
 #include "relay/cut_evidence.h"
 #include "relay/drop_limit.h"
 #include "relay/relay_peers.h"
@@ -105,8 +107,10 @@
   void Watch(OpenAttempt& attempt) { this->attempts.insert(&attempt); }
   void Forget(OpenAttempt& attempt) { this->attempts.erase(&attempt); }
 
-  /// Whether bytes of an answer of an endpoint were read after a time.
-  [[nodiscard]] bool WasHeardSince(std::uint32_t key, net::SteadyTime since) const;
+  /// Whether an endpoint sent bytes of an answer a while after the end of another answer.
+  /// @param margin this while.
+  [[nodiscard]] bool WasHeardAfter(std::uint32_t key, const AnswerEndTime& end,
+                                   std::chrono::milliseconds margin) const;
 
   /// Decides whether a peer is connected to an address.
   [[nodiscard]] relay::TunnelPermit PermitTunnel(const Address& caller,
@@ -115,6 +119,11 @@
   /// Records the outcome of a connection that was opened for a peer.
   void RecordTunnel(const net::tcp::endpoint& target, bool reached);
 
+  /// Earliest arrival of what this node reads now.
+  [[nodiscard]] net::SteadyTime EarliestArrival() const {
+    return this->beats.EarliestArrival(net::Now());
+  }
+
   /// Probes paths where there is doubt, until the event loop stops.
   net::asio::awaitable<void> Run();
 
@@ -136,6 +145,8 @@
   /// Tells whether a connection is dropped soon after it was opened. Ends the connection.
   net::asio::awaitable<bool> IsDropped(net::beast::tcp_stream& stream,
                                        std::chrono::milliseconds limit);
+  /// Records that the event loop runs, until it stops.
+  net::asio::awaitable<void> Beat();
   void BeginProbes();
   net::asio::awaitable<void> ProbeDirect(std::shared_ptr<EndpointState> endpoint);
   net::asio::awaitable<void> ProbeThroughPeer(std::shared_ptr<EndpointState> endpoint);
@@ -157,6 +168,7 @@
   std::optional<relay::TunnelClient> client;  ///< none before UsePeers()
   std::optional<relay::RelayPeers> peers;
   std::set<OpenAttempt*> attempts;
+  net::LoopBeats beats;
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/answer_end.cc
+++ b/src/gateway/internal/answer_end.cc
@@ -67,6 +67,7 @@
   if (this->Framing() != AnswerFraming::kConnection) {
     co_return BodyState::kEnd;
   }
+  const AnswerEndTime end{this->gateway.paths.EarliestArrival(), net::Now()};
   this->RecordUnframedEnd();
   // A reset is told to the first call on the socket only. If that is the write of the request, the
   // read sees an end in good order.
@@ -82,7 +83,7 @@
   }
   // The system ends the connections of a killed process in good order, too.
   const LifeSign sign =
-      co_await EndpointCheck::FindLifeSign(this->gateway, this->connection, until);
+      co_await EndpointCheck::FindLifeSign(this->gateway, this->connection, end, until);
   // An endpoint that leaves may accept no more connections while it finishes its answers. One that
   // can be had elsewhere needs no such trust.
   const bool is_leaving = this->endpoint->is_leaving || this->endpoint->entry.is_draining;
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -138,7 +138,7 @@
   this->open.is_relayed = held->through.has_value();
   this->open.may_repeat = limits.may_repeat;
   this->open.heard_at = held->sent_at;
-  this->open.bytes_at = {};
+  this->open.arrived_after = {};
   this->gateway.paths.Watch(this->open);
   held->stream.expires_at(limits.answer_by);
   auto shared_message = std::make_shared<net::Request>(std::move(message));
@@ -173,7 +173,7 @@
   this->received += read;
   if (read > 0) {
     this->open.heard_at = net::Now();
-    this->open.bytes_at = this->open.heard_at;
+    this->open.arrived_after = this->gateway.paths.EarliestArrival();
     this->gateway.paths.RecordAnswer();
   }
   co_return error;
--- a/src/gateway/internal/endpoint_check.cc
+++ b/src/gateway/internal/endpoint_check.cc
@@ -154,16 +154,17 @@
 }
 
 awaitable<LifeSign> EndpointCheck::FindLifeSign(
-    Gateway& gateway, std::shared_ptr<const EndpointConnection> connection, net::SteadyTime until) {
+    Gateway& gateway, std::shared_ptr<const EndpointConnection> connection, AnswerEndTime end,
+    net::SteadyTime until) {
   const std::shared_ptr<EndpointState> endpoint = connection->endpoint;
   const std::string path = HealthPathOf(gateway, *endpoint);
   if (connection->through) {
     const bool is_peer_alive =
+        !end.MayBeStartedBefore(end.read) &&
         co_await gateway.paths.IsAlive(*connection->through, net::Now() + kConnectLimit);
     co_return is_peer_alive ? co_await FindSignThroughPeer(gateway, endpoint, path, until)
                             : LifeSign::kNone;
   }
-  const net::SteadyTime ended_at = net::Now();
   net::ErrorCode error = net::beast::error::timeout;
   bool was_lost = false;  // if so, a process that answers later may have been started since
   for (int connects = 0; connects < kMaxConnects && net::Now() < until &&
@@ -174,14 +175,15 @@
     if (error) {
       continue;
     }
+    const bool may_be_new = was_lost || end.MayBeStartedBefore(net::Now());
     const InstanceQuery::Reply reply = co_await ReplyOn(opened, path, until);
-    if (reply == InstanceQuery::Reply::kSame && !was_lost) {
+    if (reply == InstanceQuery::Reply::kSame && !may_be_new) {
       co_return path.empty() ? LifeSign::kAccepted : LifeSign::kHealthAnswer;
     }
     if (reply == InstanceQuery::Reply::kOther) {
       co_return LifeSign::kNone;
     }
-    if (gateway.paths.WasHeardSince(endpoint->key, ended_at + kDropLimit)) {
+    if (gateway.paths.WasHeardAfter(endpoint->key, end, kDropLimit)) {
       co_return LifeSign::kOtherAnswer;
     }
     if (reply != InstanceQuery::Reply::kLost) {
@@ -195,7 +197,7 @@
     co_await pause.async_wait(net::kAwaitWithError);
   }
   // Where this node is cut off since, a peer may still tell.
-  co_return error == net::beast::error::timeout
+  co_return error == net::beast::error::timeout && !end.MayBeStartedBefore(end.read)
       ? co_await FindSignThroughPeer(gateway, endpoint, path, until)
       : LifeSign::kNone;
 }
--- a/src/gateway/internal/endpoint_check.h
+++ b/src/gateway/internal/endpoint_check.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/internal/endpoint_connection.h"
+#include "gateway/types/answer_end_time.h"
 #include "gateway/types/endpoint_fate.h"
 #include "gateway/types/life_sign.h"
 #include "net/http_types.h"
@@ -24,10 +25,10 @@
   /// Looks for a sign that an endpoint is alive after a connection to it has ended in good order:
   /// an answer to a health call, or, of one that is full, other answers or an open idle connection.
   /// @param connection ended; the check is made directly or through a peer, as it was opened.
-  /// @param until time limit.
+  /// @param end of the answer. @param until time limit.
   /// @return LifeSign::kNone also if this can't be told.
   [[nodiscard]] static net::asio::awaitable<LifeSign> FindLifeSign(
-      Gateway& gateway, std::shared_ptr<const EndpointConnection> connection,
+      Gateway& gateway, std::shared_ptr<const EndpointConnection> connection, AnswerEndTime end,
       net::SteadyTime until);
 };
 
--- a/src/gateway/internal/endpoint_paths.cc
+++ b/src/gateway/internal/endpoint_paths.cc
@@ -28,6 +28,7 @@
 // probe ends within 150 ms, through a peer within 240 ms, and the limit for drops.
 constexpr std::size_t kMaxOpenProbes = 48;
 constexpr milliseconds kWatchPeriod{50};
+constexpr milliseconds kBeatPeriod{20};
 constexpr milliseconds kTargetsPeriod{500};
 // Silence after which the paths to an endpoint are probed; most answers begin before it.
 constexpr milliseconds kProbeSilence{250};
@@ -100,12 +101,22 @@
   co_return this->client&& co_await this->client->IsAlive(this->executor, peer, until);
 }
 
-bool EndpointPaths::WasHeardSince(std::uint32_t key, net::SteadyTime since) const {
+bool EndpointPaths::WasHeardAfter(std::uint32_t key, const AnswerEndTime& end,
+                                  milliseconds margin) const {
   return std::any_of(this->attempts.begin(), this->attempts.end(), [&](const OpenAttempt* attempt) {
-    return attempt->key == key && attempt->bytes_at > since;
+    return attempt->key == key && end.IsBefore(attempt->arrived_after, margin);
   });
 }
 
+awaitable<void> EndpointPaths::Beat() {
+  net::asio::steady_timer timer(this->executor);
+  while (true) {
+    this->beats.Record(net::Now());
+    timer.expires_after(kBeatPeriod);
+    co_await timer.async_wait(net::kAwaitWithError);
+  }
+}
+
 void EndpointPaths::Count(std::string_view outcome) {
   this->metrics.GetCounter("gateway_relay_connections_total", {{"outcome", std::string(outcome)}})
       .Add();
@@ -389,6 +400,7 @@
 }
 
 awaitable<void> EndpointPaths::Run() {
+  net::Spawn(this->executor, "beat", this->Beat());
   net::asio::steady_timer timer(this->executor);
   net::SteadyTime targets_at;
   bool was_isolated = false;
