Complete no item by the claims of one endpoint, or of two where a third is listed

What results contained: items that ended as completed with a part of their output.

Cause: an end without framing that one endpoint claims goes back to any endpoint. The same one may be chosen, and its empty answer confirmed its own claim. Two endpoints that end early at different events did the same: the one that ends first answers the request to resume with nothing.

Change: endpoints that claim an end are left out of the choice (EndpointsToAvoid) as long as the service lists another one, and three endpoints must claim it if as many are listed. Where only one endpoint is listed, its second claim completes the item, as before: a service of one endpoint that never frames could complete none otherwise. Cost: an item at endpoints that never frame takes one more empty answer. Listed endpoints that are suspected or full are waited for.

--- a/src/gateway/types/end_claims.h
+++ b/src/gateway/types/end_claims.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 namespace lentilhead::gateway {
 
@@ -13,16 +15,16 @@
   enum class Result {
     kFirst,      ///< no other endpoint has claimed the end yet
     kSame,       ///< the same endpoint has claimed it before
-    kConfirmed,  ///< another endpoint has claimed it before
+    kConfirmed,  ///< only other endpoints have claimed it before
   };
 
   /// Records the claim of an endpoint. @param endpoint its id.
   [[nodiscard]] Result Add(const std::string& endpoint) {
-    if (this->first.empty()) {
-      this->first = endpoint;
-      return Result::kFirst;
+    if (this->HasClaimed(endpoint)) {
+      return Result::kSame;
     }
-    return this->first == endpoint ? Result::kSame : Result::kConfirmed;
+    this->endpoints.push_back(endpoint);
+    return this->endpoints.size() == 1 ? Result::kFirst : Result::kConfirmed;
   }
 
   /// Records the claim of an endpoint that sent the last event without framing.
@@ -35,14 +37,22 @@
   /// without framing, which else may have lost its events, then claims the same.
   [[nodiscard]] bool IsClaimedWithoutFraming() const { return this->is_without_framing; }
 
+  /// Ids of the endpoints that claim the end.
+  [[nodiscard]] const std::vector<std::string>& Endpoints() const { return this->endpoints; }
+
+  [[nodiscard]] bool HasClaimed(const std::string& endpoint) const {
+    return std::find(this->endpoints.begin(), this->endpoints.end(), endpoint) !=
+           this->endpoints.end();
+  }
+
   /// Drops the claims: a further event was received.
   void Clear() {
-    this->first.clear();
+    this->endpoints.clear();
     this->is_without_framing = false;
   }
 
  private:
-  std::string first;  ///< endpoint that claimed the end first
+  std::vector<std::string> endpoints;  ///< that claim the end, in the order of their claims
   bool is_without_framing = false;
 };
 
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -27,28 +27,9 @@
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
-
-/// Outcome of an attempt whose answer ended without a proof that the output is whole: two endpoints
-/// confirm the end. If only one can be asked, a run from the beginning tells; one that uses no
-/// framing could not tell more than that nothing follows.
-/// @param outcome of the attempt.
-ItemRunOutcome AfterEndClaim(ItemProgress& progress, const std::string& endpoint,
-                             ItemRunOutcome outcome) {
-  const bool is_unframed = outcome == ItemRunOutcome::kEndUnframed;
-  const gateway::EndClaims::Result claim = is_unframed
-                                               ? progress.end_claims.AddWithoutFraming(endpoint)
-                                               : progress.end_claims.Add(endpoint);
-  switch (claim) {
-    case gateway::EndClaims::Result::kFirst:
-      return outcome;
-    case gateway::EndClaims::Result::kSame:
-      return progress.end_claims.IsClaimedWithoutFraming() ? ItemRunOutcome::kComplete
-                                                           : ItemRunOutcome::kBeginAnew;
-    case gateway::EndClaims::Result::kConfirmed:
-      break;
-  }
-  return ItemRunOutcome::kComplete;
-}
+// Endpoints that must claim an end without framing, if the service lists as many: the output is
+// right if one of them ends its answers in the right place.
+constexpr std::size_t kClaimsWithoutFraming = 3;
 
 /// Whether an attempt that received events of an item claims that the output is whole.
 bool IsEndClaim(const ItemProgress& progress, ItemRunOutcome outcome) {
@@ -65,6 +46,42 @@
 
 }  // namespace
 
+bool JobService::ListsOtherEndpoint(const gateway::EndClaims& claims,
+                                    const std::string& service) const {
+  const auto& endpoints = this->gateway.registry.All();
+  return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& endpoint) {
+    const auto& [id, state] = endpoint;
+    return state->entry.service == service && state->in_group && state->listed &&
+           !state->is_leaving && !state->entry.is_draining && !claims.HasClaimed(id);
+  });
+}
+
+std::vector<std::string> JobService::EndpointsToAvoid(const ItemStart& start) const {
+  const gateway::EndClaims& claims = start.job->items.Progress(start.item).end_claims;
+  const bool is_other_asked =
+      claims.IsClaimedWithoutFraming() && this->ListsOtherEndpoint(claims, start.service);
+  return is_other_asked ? claims.Endpoints() : std::vector<std::string>{};
+}
+
+ItemRunOutcome JobService::AfterEndClaim(ItemProgress& progress,
+                                         const gateway::EndpointEntry& endpoint,
+                                         ItemRunOutcome outcome) const {
+  gateway::EndClaims& claims = progress.end_claims;
+  const bool is_unframed = outcome == ItemRunOutcome::kEndUnframed;
+  const gateway::EndClaims::Result claim =
+      is_unframed ? claims.AddWithoutFraming(endpoint.id) : claims.Add(endpoint.id);
+  if (claim == gateway::EndClaims::Result::kFirst) {
+    return outcome;
+  }
+  if (!claims.IsClaimedWithoutFraming()) {
+    return claim == gateway::EndClaims::Result::kConfirmed ? ItemRunOutcome::kComplete
+                                                           : ItemRunOutcome::kBeginAnew;
+  }
+  const bool is_other_asked = claims.Endpoints().size() < kClaimsWithoutFraming &&
+                              this->ListsOtherEndpoint(claims, endpoint.service);
+  return is_other_asked ? ItemRunOutcome::kEndUnframed : ItemRunOutcome::kComplete;
+}
+
 void JobService::NoteRoute(const Job& job, RouteState state) {
   const bool was_unknown = std::exchange(job->is_route_unknown, state == RouteState::kUnknown);
   if (job->is_route_unknown && !was_unknown) {
@@ -196,7 +213,8 @@
       room.Close(next->service);
       continue;
     }
-    gateway::ChoiceRequest choice{next->service, {}, gateway::WorkClass::kBatch};
+    gateway::ChoiceRequest choice{next->service, this->EndpointsToAvoid(*next),
+                                  gateway::WorkClass::kBatch};
     this->AddCost(*next, choice);
     gateway::AdmissionOutcome admitted = this->gateway.admission.TryAcquire(choice);
     if (admitted.lease) {
@@ -204,7 +222,10 @@
       this->StartItem(next->job, next->item, std::move(admitted.lease));
       return true;
     }
-    if (admitted.free_memory) {
+    if (!choice.excluded.empty()) {
+      // The endpoints that are left out may have room for other items.
+      next->job->items.Progress(next->item).not_before = net::Now() + kRetryDelay;
+    } else if (admitted.free_memory) {
       const bool is_too_large = admitted.reason == gateway::NoChoice::kTooLarge;
       this->NoteHeld(*next, is_too_large ? StartReason::kTooLarge : StartReason::kNoMemory,
                      {choice.cost.memory_tokens, *admitted.free_memory});
@@ -236,7 +257,7 @@
 awaitable<void> JobService::RunItem(Job job, std::shared_ptr<internal::ItemAttempt> attempt,
                                     gateway::EndpointLease lease) {
   const std::size_t item = attempt->item;
-  const std::string endpoint = lease.Endpoint().entry.id;
+  const gateway::EndpointEntry entry = lease.Endpoint().entry;
   internal::ItemRun run(this->gateway, job->items, item, lease, attempt->cancel);
   const ItemRunReport report = co_await run.Run(job->claim);
   ItemRunOutcome outcome = report.outcome;
@@ -248,7 +269,7 @@
   }
   progress.phase = ItemPhase::kWaiting;
   if (IsEndClaim(progress, outcome)) {
-    outcome = AfterEndClaim(progress, endpoint, outcome);
+    outcome = this->AfterEndClaim(progress, entry, outcome);
   }
   if (!BeginsAnew(outcome)) {
     this->RecordPace(*job, *attempt, outcome == ItemRunOutcome::kComplete);
@@ -283,7 +304,7 @@
                                          : net::LogImportance::kNotable)
       .With("job", job->claim.job)
       .With("item", job->items.Spec(item).id)
-      .With("endpoint", endpoint)
+      .With("endpoint", entry.id)
       .With("step", NameOf(outcome))
       .With("end", report.end)
       .With("stage", NameOf(report.stage))
--- a/src/jobs/job_service.h
+++ b/src/jobs/job_service.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gateway/gateway.h"
+#include "jobs/internal/item_run.h"
 #include "jobs/internal/item_starts.h"
 #include "jobs/internal/owned_job.h"
 #include "jobs/internal/start_room.h"
@@ -105,6 +106,18 @@
   /// Returns the most urgent item that there is room for.
   [[nodiscard]] std::optional<ItemStart> NextStart(const internal::StartRoom& room);
   bool StartNextItem();
+  /// Whether the service lists an endpoint that has not claimed the end of an item yet.
+  [[nodiscard]] bool ListsOtherEndpoint(const gateway::EndClaims& claims,
+                                        const std::string& service) const;
+  /// Returns the ids of endpoints that must not run an item next, because another one is to
+  /// confirm the end that they claim; none if no other endpoint is listed.
+  [[nodiscard]] std::vector<std::string> EndpointsToAvoid(const ItemStart& start) const;
+  /// Outcome of an attempt whose answer ended without a proof that the output is whole.
+  /// @param outcome of the attempt.
+  /// @param endpoint entry of the endpoint that answered.
+  internal::ItemRunOutcome AfterEndClaim(ItemProgress& progress,
+                                         const gateway::EndpointEntry& endpoint,
+                                         internal::ItemRunOutcome outcome) const;
   /// Adds the expected cost of an item to the choice of its endpoint.
   void AddCost(const ItemStart& start, gateway::ChoiceRequest& choice) const;
   [[nodiscard]] ItemCandidate CandidateOf(const internal::OwnedJob& job, std::size_t item) const;
