--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -27,9 +27,6 @@
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
-// Endpoints that must claim an end without framing, if the service lists as many: the output is
-// right if one of them ends its answers in the right place.
-constexpr std::size_t kClaimsWithoutFraming = 3;
 
 /// Whether an attempt that received events of an item claims that the output is whole.
 bool IsEndClaim(const ItemProgress& progress, ItemRunOutcome outcome) {
@@ -73,12 +70,13 @@
   if (claim == gateway::EndClaims::Result::kFirst) {
     return outcome;
   }
+  if (claim == gateway::EndClaims::Result::kConfirmed) {
+    return ItemRunOutcome::kComplete;
+  }
   if (!claims.IsClaimedWithoutFraming()) {
-    return claim == gateway::EndClaims::Result::kConfirmed ? ItemRunOutcome::kComplete
-                                                           : ItemRunOutcome::kBeginAnew;
+    return ItemRunOutcome::kBeginAnew;
   }
-  const bool is_other_asked = claims.Endpoints().size() < kClaimsWithoutFraming &&
-                              this->ListsOtherEndpoint(claims, endpoint.service);
+  const bool is_other_asked = this->ListsOtherEndpoint(claims, endpoint.service);
   return is_other_asked ? ItemRunOutcome::kEndUnframed : ItemRunOutcome::kComplete;
 }
 
