Log: write each line at once at low rates

Cause: routine lines were held back until there were 4096 bytes of them or 100 ms had passed, so a node that was killed lost the line of the answer that it had just sent.

Change: the first 400 lines of a second, which is the default bound, are written one by one; further routine lines are grouped as before. Nothing waits: poll is asked before each write, and the bounds on lines and buffered bytes stay.

--- a/src/net/log_line.h
+++ b/src/net/log_line.h
@@ -13,7 +13,7 @@
 };
 
 /// Appends one line of key=value pairs to the process's log, which is standard output, when the
-/// object goes out of scope; a notable line is flushed at once.
+/// object goes out of scope; routine lines are written in groups at high rates.
 /// Never blocks: a line above the rate limit, or without space in the buffer because the reader is
 /// slow, is dropped and counted.
 class LogLine {
--- a/src/net/log_sink.cc
+++ b/src/net/log_sink.cc
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kWriteBytes =
     4096;  // a pipe that poll reports as writable accepts a page without blocking
+constexpr std::uint32_t kLinesWrittenAtOnce = 400;  // in a second; further ones are grouped
 
 bool IsWritable(int descriptor) {
   pollfd state{descriptor, POLLOUT, 0};
@@ -48,7 +49,8 @@
     return;
   }
   this->buffer.append(line);
-  if (this->buffer.size() >= kWriteBytes) {
+  const bool is_rate_low = this->lines_in_second <= kLinesWrittenAtOnce;
+  if (is_rate_low || this->buffer.size() >= kWriteBytes) {
     this->Flush();
   }
 }
--- a/src/net/log_sink.h
+++ b/src/net/log_sink.h
@@ -15,7 +15,7 @@
   std::size_t buffered_bytes = 256 << 10;  ///< buffer for a slow reader
 };
 
-/// Buffers log lines and writes them to a descriptor without blocking.
+/// Writes log lines to a descriptor without blocking; buffers them for a slow reader.
 class LogSink {
  public:
   using Time = std::chrono::steady_clock::time_point;
@@ -32,7 +32,8 @@
   /// written.
   [[nodiscard]] bool Admit(LogImportance importance, Time now);
 
-  /// Buffers a line, and flushes once the buffer holds enough for a write of full size.
+  /// Writes a line at once, so that a killed process has written what it did. At high rates the
+  /// lines are buffered until there are enough for a write of full size.
   void Append(std::string_view line);
 
   /// Writes as much of the buffer as the descriptor accepts without blocking.
--- a/src/net/tests/log_sink_test.cc
+++ b/src/net/tests/log_sink_test.cc
@@ -51,6 +51,23 @@
   CHECK(sink.TakeNewlyDropped() == 0);
 }
 
+// Guards against lines that a killed process has not written, and a write for each line of many.
+TEST_CASE("a line is written at once unless many are logged in the second") {
+  const StoppedReader reader;
+  LogSink sink(reader.WriteEnd(), {1000000, 64 << 10});
+  const LogSink::Time now = std::chrono::steady_clock::now();
+  CHECK(sink.Admit(LogImportance::kRoutine, now));
+  sink.Append("first\n");
+  CHECK(reader.ReadAll() == "first\n");
+  for (int count = 0; count < 1000; ++count) {
+    CHECK(sink.Admit(LogImportance::kRoutine, now));
+  }
+  sink.Append("second\n");
+  CHECK(reader.ReadAll().empty());
+  sink.Flush();
+  CHECK(reader.ReadAll() == "second\n");
+}
+
 TEST_CASE("the rate is limited and routine lines are dropped once half of it is used") {
   const StoppedReader reader;
   LogSink sink(reader.WriteEnd(), {100, 64 << 10});
