Log what the end of a served answer rests on

What callers saw: an answer that was not whole; no line of the record named its request.

Cause: request_end of a served request had the framing only, was routine whatever the end rested on, and so was dropped first and did not appear in records of five lines.

Change: request_end has, in its first 200 characters, ended_by (length, last_chunk, no_body, a sign of life, confirmed or varying), claimed_by, the bytes of the body, the stated length and the bytes behind the end; item_attempt_ended has ended_by in its first 200 characters, body and behind later. Lines of ends that rest on anything but what the answer states, or with bytes behind them, are notable. gateway_answers_ended_total{by} counts each way.

--- a/src/apps/node/metric_help.cc
+++ b/src/apps/node/metric_help.cc
@@ -13,6 +13,7 @@
     {"gateway_first_event_seconds",
      "Time from arrival to the first event of a stream, in seconds."},
     {"gateway_attempt_failures_total", "Attempts at endpoints that failed, by cause."},
+    {"gateway_answers_ended_total", "Answers of served requests, by what their end was known by."},
     {"gateway_answer_ends_believed_total",
      "Answers without framing taken for whole, by the sign that the endpoint was alive."},
     {"gateway_answer_ends_unproven_total",
--- a/src/gateway/internal/answer_end.cc
+++ b/src/gateway/internal/answer_end.cc
@@ -13,6 +13,14 @@
 // The system ends all connections of a process that ends within this time.
 constexpr milliseconds kSameMoment{20};
 
+/// Name of the end of an answer that states it.
+std::string_view NameOfFramedEnd(AnswerFraming framing, std::size_t received) {
+  if (framing == AnswerFraming::kChunks) {
+    return "last_chunk";
+  }
+  return received > 0 ? "length" : "no_body";
+}
+
 }  // namespace
 
 awaitable<bool> EndpointAttempt::IsRequestWritten(net::SteadyTime until) {
@@ -33,6 +41,16 @@
   this->endpoint->unframed_end = now;
 }
 
+void EndpointAttempt::RecordEnd(std::string_view sign) {
+  const bool is_framed = this->Framing() != AnswerFraming::kConnection;
+  std::optional<std::uint64_t> length;
+  if (this->parser->content_length()) {
+    length = *this->parser->content_length();
+  }
+  this->end = AnswerEnd{sign, this->Progress().received, length, this->connection->buffer.size(),
+                        is_framed};
+}
+
 void EndpointAttempt::ReportUnprovenEnd(std::string_view cause, net::SteadyTime until) {
   net::LogLine("answer_end_unproven")
       .With("request", this->request_id)
@@ -65,6 +83,7 @@
 
 awaitable<BodyState> EndpointAttempt::StateAtEnd(net::SteadyTime until) {
   if (this->Framing() != AnswerFraming::kConnection) {
+    this->RecordEnd(NameOfFramedEnd(this->Framing(), this->Progress().received));
     co_return BodyState::kEnd;
   }
   this->RecordUnframedEnd();
@@ -91,7 +110,9 @@
     this->ReportUnprovenEnd("endpoint_lost", until);
     co_return BodyState::kBroken;
   }
-  this->ReportBelievedEnd(sign != LifeSign::kNone ? NameOf(sign) : "leaving", until);
+  const std::string_view sign_name = sign != LifeSign::kNone ? NameOf(sign) : "leaving";
+  this->ReportBelievedEnd(sign_name, until);
+  this->RecordEnd(sign_name);
   co_return BodyState::kEnd;
 }
 
--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -318,6 +318,7 @@
   this->parser->body_limit(boost::none);
   this->parser->skip(is_head_request);
   this->received = 0;
+  this->end.reset();
   net::ErrorCode error;
   while (!error && !this->parser->is_header_done()) {
     error = co_await this->ReadSome(until);
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -11,6 +11,7 @@
 #include "gateway/internal/endpoint_connection.h"
 #include "gateway/internal/event_verdict.h"
 #include "gateway/types/answer_bound.h"
+#include "gateway/types/answer_end.h"
 #include "gateway/types/answer_framing.h"
 #include "gateway/types/attempt_failure.h"
 #include "gateway/types/attempt_target.h"
@@ -83,6 +84,9 @@
   /// How far the body of the current answer has been received.
   [[nodiscard]] BodyProgress Progress() const;
 
+  /// How the body of the current answer ended; empty before it ended with BodyState::kEnd.
+  [[nodiscard]] const std::optional<AnswerEnd>& End() const { return this->end; }
+
   /// Reads the next part of the body.
   /// @param until time limit of the read.
   net::asio::awaitable<BodyPiece> ReadPiece(net::SteadyTime until);
@@ -149,6 +153,8 @@
   net::asio::awaitable<bool> IsRequestWritten(net::SteadyTime until);
   /// Counts the answers without framing of the endpoint that end at the same moment.
   void RecordUnframedEnd();
+  /// Records that the end of the answer is believed. @param sign why.
+  void RecordEnd(std::string_view sign);
   /// Logs and counts an answer without framing whose end is not believed.
   /// @param until time limit of the answer.
   void ReportUnprovenEnd(std::string_view cause, net::SteadyTime until);
@@ -181,12 +187,13 @@
   std::string request_id;
   AttemptTarget target;
   std::optional<net::asio::ip::address> through;
-  OpenAttempt open;             ///< watched from the time that the request is sent
-  bool is_interrupted = false;  ///< this node ended the read in progress
-  std::size_t received = 0;     ///< bytes of the current answer
-  std::size_t head_bytes = 0;   ///< of these, before the body was read
-  net::SteadyTime head_at;      ///< time of the head of the current answer
-  std::size_t discarded = 0;    ///< bytes of interim heads and of answers to other requests
+  OpenAttempt open;              ///< watched from the time that the request is sent
+  bool is_interrupted = false;   ///< this node ended the read in progress
+  std::size_t received = 0;      ///< bytes of the current answer
+  std::size_t head_bytes = 0;    ///< of these, before the body was read
+  net::SteadyTime head_at;       ///< time of the head of the current answer
+  std::optional<AnswerEnd> end;  ///< of the current answer
+  std::size_t discarded = 0;     ///< bytes of interim heads and of answers to other requests
 };
 
 }  // namespace lentilhead::gateway::internal
--- a/src/gateway/internal/online_confirmation.cc
+++ b/src/gateway/internal/online_confirmation.cc
@@ -35,8 +35,10 @@
                                     : BodyRelation::kFirstIsCut;
   switch (relation) {
     case BodyRelation::kSame:
+      this->confirmation = kConfirmedEnd;
       co_return co_await this->DeliverWholeAnswer(std::move(response));
     case BodyRelation::kVaries: {
+      this->confirmation = kVaryingEnd;
       const bool is_longer = response.body().size() > this->unconfirmed->body().size();
       net::Response longer = is_longer ? std::move(response) : std::move(*this->unconfirmed);
       co_return co_await this->DeliverWholeAnswer(std::move(longer));
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -44,6 +44,7 @@
   }
   BodyPiece body = co_await attempt.ReadRest(kMaxBufferedAnswerBytes, this->AttemptLimit());
   this->silence.Stop();
+  this->end = attempt.End();
   if (this->cancel.IsCancelled()) {
     co_return Step::kCancelled;
   }
@@ -126,6 +127,7 @@
       break;
     }
     piece = co_await attempt.ReadPiece(this->routed.deadline);
+    this->end = attempt.End();
     if (this->cancel.IsCancelled()) {
       co_return Step::kCancelled;
     }
@@ -224,6 +226,9 @@
   // The endpoint that sent the last event was alive after it.
   const bool can_not_be_asked = this->end_claims.IsClaimedWithoutFraming() &&
                                 !(this->routed.IsRepeatable() && this->sequence.MayResume());
+  if (claim == EndClaims::Result::kConfirmed || is_said_again) {
+    this->confirmation = kConfirmedEnd;
+  }
   if (claim == EndClaims::Result::kConfirmed || is_said_again || can_not_be_asked) {
     co_return co_await this->EndStream(answer);
   }
@@ -247,6 +252,7 @@
                                                                      this->routed.deadline, true));
     }
     StreamPart part = co_await stream.Read(this->AttemptLimit());
+    this->end = attempt.End();
     has_advanced = part.has_advanced;
     // Bytes that complete no event are silence, too.
     const bool is_wait_over =
--- a/src/gateway/internal/online_run.cc
+++ b/src/gateway/internal/online_run.cc
@@ -65,25 +65,48 @@
   }
 }
 
+void OnlineRun::AddEnd(net::LogLine& line) const {
+  if (this->framing) {
+    line.With("framing", NameOf(*this->framing));
+  }
+  if (!this->end) {
+    return;
+  }
+  line.With("ended_by", this->SignOfEnd());
+  if (!this->confirmation.empty()) {
+    line.With("claimed_by", this->claimer);
+  }
+  line.With("body", this->end->received);
+  if (this->end->length) {
+    line.With("length", *this->end->length);
+  }
+  if (this->end->is_framed) {
+    line.With("behind", this->end->behind);
+  }
+}
+
 void OnlineRun::LogOutcome(std::string_view outcome, std::string_view reason, int status) {
   const net::SteadyTime now = net::Now();
   const bool is_served = outcome == "served";
   // An answer that was put together of several attempts may be wrong although it was served.
-  const bool routine = is_served && this->record.sent <= 1;
+  const bool routine = is_served && this->record.sent <= 1 && !this->IsEndDoubtful();
+  if (is_served && this->end) {
+    this->gateway.metrics
+        .GetCounter("gateway_answers_ended_total", {{"by", std::string(this->SignOfEnd())}})
+        .Add();
+  }
   this->work.RecordEnd(this->routed.request.id, is_served, now);
   net::LogLine line("request_end",
                     routine ? net::LogImportance::kRoutine : net::LogImportance::kNotable);
   line.With("request", this->routed.request.id)
       .With("outcome", outcome)
       .With("reason", reason)
-      .With("status", status)
       .With("endpoint", this->last_endpoint)
-      .With("sent", this->record.sent)
+      .With("sent", this->record.sent);
+  this->AddEnd(line);
+  line.With("status", status)
       .With("ms", net::ToMilliseconds(now - this->routed.arrival).count())
       .With("left_ms", net::ToMilliseconds(this->routed.deadline - now).count());
-  if (this->framing) {
-    line.With("framing", NameOf(*this->framing));
-  }
   if (this->routed.route->kind == RouteKind::kStream) {
     line.With("last_event", this->sequence.LastEvent().value_or(-1))
         .With("unfinished_bytes", this->unfinished_bytes)
@@ -361,6 +384,7 @@
   }
   const Route& route = *this->routed.route;
   this->framing.reset();
+  this->end.reset();
   this->unfinished_bytes = 0;
   this->stage = AttemptStage::kUnanswered;
   this->attempt_start = now;
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -17,6 +17,7 @@
 #include "gateway/types/end_claims.h"
 #include "gateway/types/endpoint_fate.h"
 #include "gateway/types/routed_request.h"
+#include "net/log_line.h"
 
 namespace lentilhead::gateway::internal {
 
@@ -51,6 +52,8 @@
   static constexpr std::string_view kForeignBytesCause = "foreign_bytes";
   static constexpr std::string_view kMisplacedEventCause = "misplaced_event";
   static constexpr std::string_view kEndUnconfirmedCause = "end_unconfirmed";
+  static constexpr std::string_view kConfirmedEnd = "confirmed";
+  static constexpr std::string_view kVaryingEnd = "varying";
   /// Longest wait for a slot at an endpoint that is to confirm the end of an answer.
   static constexpr std::chrono::milliseconds kConfirmationWait{200};
   /// Longest time in which a second endpoint confirms an answer. It is shorter than the 2 s after
@@ -161,6 +164,18 @@
   void Count(const char* outcome, std::string_view reason);
   void CountAdmission(std::string_view decision);
   void LogAttempt(const EndpointState& endpoint, net::SteadyTime now);
+  /// Whether the end of the last answer rests on something other than what the answer itself
+  /// states.
+  [[nodiscard]] bool IsEndDoubtful() const {
+    return this->end &&
+           (!this->end->is_framed || this->end->behind > 0 || !this->confirmation.empty());
+  }
+  /// What the end of the last answer rests on.
+  [[nodiscard]] std::string_view SignOfEnd() const {
+    return this->confirmation.empty() ? this->end->sign : this->confirmation;
+  }
+  /// Adds how the last answer ended.
+  void AddEnd(net::LogLine& line) const;
   void LogOutcome(std::string_view outcome, std::string_view reason, int status);
 
   Gateway& gateway;
@@ -182,6 +197,8 @@
   bool may_send_again = true;                ///< as far as lost endpoints tell
   std::optional<PartKey> held_part;          ///< because of which the request is refused
   std::optional<AnswerFraming> framing;      ///< of the last answer
+  std::optional<AnswerEnd> end;              ///< of the last answer
+  std::string_view confirmation;             ///< how a second answer confirmed that end
   std::size_t unfinished_bytes = 0;          ///< of a streamed one, after its last complete event
   StreamSequence sequence;
   EndClaims end_claims;
--- a/src/jobs/internal/item_run.cc
+++ b/src/jobs/internal/item_run.cc
@@ -106,6 +106,7 @@
   ItemRunReport report;
   report.outcome = co_await this->Attempt(claim);
   report.stage = this->stage;
+  report.answer_end = this->answer_end;
   report.end = this->cancel.IsCancelled() ? "cancelled" : this->end;
   const bool may_have_ended = this->is_connection_lost && !this->is_path_suspected &&
                               this->stage != AttemptStage::kAnswering;
@@ -138,6 +139,7 @@
   StreamSequence sequence(progress.last_event, progress.last_event.has_value());
   const ItemRunOutcome ended =
       co_await this->ReadEvents(AnswerStream(attempt, framing, sequence), work);
+  this->answer_end = attempt.End();
   if (sequence.MayResume()) {
     co_return ended;
   }
--- a/src/jobs/internal/item_run.h
+++ b/src/jobs/internal/item_run.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "gateway/gateway.h"
 #include "gateway/internal/answer_stream.h"
 #include "gateway/internal/work_meter.h"
+#include "gateway/types/answer_end.h"
 #include "gateway/types/attempt_stage.h"
 #include "jobs/item_tracker.h"
 #include "jobs/types/claim.h"
@@ -35,6 +37,7 @@
   gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
   bool endpoint_ended = false;  ///< the endpoint ended before it sent an event of this attempt
   std::string end;              ///< what ended the attempt, in logs
+  std::optional<gateway::AnswerEnd> answer_end;  ///< how its answer ended
 };
 
 /// Sends an item to an endpoint once and reads the answer into the item's progress.
@@ -77,7 +80,8 @@
   const gateway::EndpointLease& lease;
   gateway::CancelScope& cancel;
   gateway::AttemptStage stage = gateway::AttemptStage::kUnanswered;
-  std::string end;  ///< what ended the attempt
+  std::string end;                               ///< what ended the attempt
+  std::optional<gateway::AnswerEnd> answer_end;  ///< how its answer ended
   bool is_connection_lost = false;
   bool is_path_suspected = false;  ///< the loss says nothing of the endpoint
 };
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -50,6 +50,13 @@
   return ItemRunOutcome::kComplete;
 }
 
+/// Whether an attempt completed an item by an answer that states its own end.
+bool IsRoutine(ItemRunOutcome outcome, const ItemRunReport& report) {
+  const std::optional<gateway::AnswerEnd>& end = report.answer_end;
+  return outcome == ItemRunOutcome::kComplete && report.end == "complete" && end &&
+         end->is_framed && end->behind == 0;
+}
+
 /// Whether an attempt that received events of an item claims that the output is whole.
 bool IsEndClaim(const ItemProgress& progress, ItemRunOutcome outcome) {
   const bool is_claim =
@@ -278,20 +285,25 @@
     progress.last_event.reset();
     progress.end_claims.Clear();
   }
-  net::LogLine("item_attempt_ended", outcome == ItemRunOutcome::kComplete
-                                         ? net::LogImportance::kRoutine
-                                         : net::LogImportance::kNotable)
-      .With("job", job->claim.job)
+  net::LogLine line("item_attempt_ended", IsRoutine(outcome, report)
+                                              ? net::LogImportance::kRoutine
+                                              : net::LogImportance::kNotable);
+  line.With("job", job->claim.job)
       .With("item", job->items.Spec(item).id)
       .With("endpoint", endpoint)
       .With("step", NameOf(outcome))
-      .With("end", report.end)
-      .With("stage", NameOf(report.stage))
+      .With("end", report.end);
+  if (report.answer_end) {
+    line.With("ended_by", report.answer_end->sign);
+  }
+  line.With("stage", NameOf(report.stage))
       .With("last_event", progress.last_event.value_or(-1))
       .With("endpoint_ended", report.endpoint_ended)
       .With("failures", progress.failures)
       .With("cancelled", attempt->cancel.IsCancelled())
       .With("ms", net::ToMilliseconds(net::Now() - attempt->started).count())
+      .With("body", report.answer_end ? report.answer_end->received : 0)
+      .With("behind", report.answer_end ? report.answer_end->behind : 0)
       .With("parts", gateway::FormatPartKeys(job->items.Spec(item).keys.shared));
 }
 
