Second answers: break off bodies that a refusal or an unsigned answer completes

Cause: the scan knew second answers by their request id only, so a refusal, an error or an answer without the id completed a body of a stated length, or ended one without framing.

Change: a head that names no request, but framing or that nothing was run, breaks a body if bytes follow it or if it has no framing; so does a cut head with bytes behind it. Bytes that follow a body of a stated length at once make the answer unconfirmed where the request may run again: only the rest of a second answer may have filled it, which nothing in it tells.

Known cost: a body without framing that quotes a whole answer with CRLF is refused.

--- a/src/gateway/internal/endpoint_attempt.cc
+++ b/src/gateway/internal/endpoint_attempt.cc
@@ -460,6 +460,7 @@
     this->AbortAtSecondAnswer();
     co_return piece;
   }
+  piece.is_followed = this->connection->buffer.size() > 0;
   piece.state = co_await this->StateAtEnd(until);
   this->Finish();
   co_return piece;
@@ -504,6 +505,7 @@
     BodyPiece piece = co_await this->ReadPiece(until);
     all.bytes += piece.bytes;
     all.state = piece.state;
+    all.is_followed = piece.is_followed;
     this->CountHeld(all.bytes.capacity());
     if (all.state == BodyState::kMore && this->held.MustPause()) {
       this->gateway.metrics.GetCounter("gateway_reads_paused_total").Add();
--- a/src/gateway/internal/endpoint_attempt.h
+++ b/src/gateway/internal/endpoint_attempt.h
@@ -48,6 +48,7 @@
   std::string bytes;
   std::size_t received = 0;  ///< bytes of the answer, with the framing of the body
   BodyState state = BodyState::kMore;
+  bool is_followed = false;  ///< at its end, bytes that belong to no answer had arrived behind it
 };
 
 /// Limits of an attempt.
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -92,8 +92,10 @@
 
 bool OnlineRun::NeedsConfirmation(const AnswerHead& answer, const BodyPiece& body) const {
   const bool is_success = answer.head.result_int() / 100 == 2;
-  return is_success && body.state == BodyState::kEnd &&
-         answer.framing == AnswerFraming::kConnection && this->routed.IsRepeatable();
+  // A second answer may have supplied the bytes that the first one lacks up to its stated length.
+  const bool may_be_filled = answer.framing == AnswerFraming::kLength && body.is_followed;
+  return is_success && body.state == BodyState::kEnd && this->routed.IsRepeatable() &&
+         (answer.framing == AnswerFraming::kConnection || may_be_filled);
 }
 
 awaitable<OnlineRun::Step> OnlineRun::DeliverWholeAnswer(net::Response response) {
--- a/src/gateway/internal/second_answer.cc
+++ b/src/gateway/internal/second_answer.cc
@@ -24,7 +24,9 @@
   const auto behind = buffer.cdata();
   this->scan->AddBehind({static_cast<const char*>(behind.data()), behind.size()});
   const net::SteadyTime limit = std::min(until, net::Now() + kRestOfHeadLimit);
-  while (this->scan->IsUndecided() && this->Framing() != AnswerFraming::kConnection) {
+  const bool is_framed = this->Framing() != AnswerFraming::kConnection;
+  while (is_framed && (this->scan->IsUndecided() ||
+                       (this->scan->HasUnsignedHead() && buffer.size() == 0))) {
     held->stream.expires_at(limit);
     const auto space = buffer.prepare(kReadBytes);
     const auto [error, read] = co_await held->stream.async_read_some(space, net::kAwaitWithError);
@@ -34,7 +36,11 @@
     this->scan->AddBehind({static_cast<const char*>(space.data()), read});
     buffer.commit(read);
   }
-  co_return this->scan->IsFound();
+  // A quoted head is followed by the rest of the body; a second answer fills it and goes on.
+  const bool is_followed = buffer.size() > 0;
+  const bool is_cut = is_framed && is_followed && this->scan->IsUndecided();
+  const bool is_unsigned = this->scan->HasUnsignedHead() && (!is_framed || is_followed);
+  co_return this->scan->IsFound() || is_cut || is_unsigned;
 }
 
 void EndpointAttempt::AbortAtSecondAnswer() {
