--- a/src/gateway/internal/second_answer.cc
+++ b/src/gateway/internal/second_answer.cc
@@ -25,8 +25,8 @@
   this->scan->AddBehind({static_cast<const char*>(behind.data()), behind.size()});
   const net::SteadyTime limit = std::min(until, net::Now() + kRestOfHeadLimit);
   const bool is_framed = this->Framing() != AnswerFraming::kConnection;
-  while (is_framed && (this->scan->IsUndecided() ||
-                       (this->scan->HasUnsignedHead() && buffer.size() == 0))) {
+  while (is_framed &&
+         (this->scan->IsUndecided() || (this->scan->HasUnsignedHead() && buffer.size() == 0))) {
     held->stream.expires_at(limit);
     const auto space = buffer.prepare(kReadBytes);
     const auto [error, read] = co_await held->stream.async_read_some(space, net::kAwaitWithError);
