Answer callers that know no chunks with a length, and answers without a body without chunks

Two faults of what nodes write. An HTTP/1.0 caller got a streamed or large answer in chunks, which it takes for the body; it ends with the connection, so a part looked complete. A HEAD request on a stream route, and a 204 in chunks, got a last chunk that the caller takes for the beginning of its next answer.

Change: CallerSession gathers chunked answers to HTTP/1.0 callers and sends them with a length at their end; one that breaks off sends nothing. Answers to HEAD, 204 and 304 carry no chunks, and 204 and 304 no length.

--- a/src/gateway/caller_session.h
+++ b/src/gateway/caller_session.h
@@ -47,7 +47,8 @@
   /// @return false when the write failed or the connection was closed.
   net::asio::awaitable<bool> Send(net::Response response, net::SteadyTime until);
 
-  /// Sends the head of an answer with a chunked body.
+  /// Sends the head of an answer with a chunked body. Answers to HTTP/1.0 callers are gathered and
+  /// sent with a length at their end: without framing, a part would look complete.
   net::asio::awaitable<bool> BeginChunks(net::http::response_header<> head, net::SteadyTime until);
 
   /// Sends a chunk of the body, or nothing if there are no bytes.
@@ -124,6 +125,9 @@
   bool lacks_memory = false;  ///< the body of the request is dropped
   bool keep_alive = true;
   bool is_head_request = false;
+  bool takes_chunks = true;               ///< the caller knows chunks (HTTP/1.1)
+  bool sends_chunks = false;              ///< the answer in progress has a chunked body
+  std::optional<net::Response> gathered;  ///< chunked answer to a caller that knows no chunks
 };
 
 }  // namespace lentilhead::gateway
--- a/src/gateway/internal/caller_session.cc
+++ b/src/gateway/internal/caller_session.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <optional>
+#include <tuple>
 #include <utility>
 
 #include "net/acknowledged_bytes.h"
@@ -44,6 +45,12 @@
   return from_parser && !is_cut ? ReadProblem::kMalformed : ReadProblem::kClosed;
 }
 
+/// Whether answers with a status have no body.
+bool HasNoBody(net::http::status status) {
+  return net::http::to_status_class(status) == net::http::status_class::informational ||
+         status == net::http::status::no_content || status == net::http::status::not_modified;
+}
+
 }  // namespace
 
 CallerSession::CallerSession(net::tcp::socket socket, const bool& stop, net::MemoryBudget* memory)
@@ -144,6 +151,7 @@
   this->is_idle = true;
   this->idle_since = net::Now();
   this->answer_begun = false;
+  this->gathered.reset();
   this->lacks_memory = false;
   this->request_bytes = 0;
   this->request_id.clear();
@@ -171,6 +179,7 @@
   net::Request request = parser.release();
   this->keep_alive = request.keep_alive();
   this->is_head_request = request.method() == net::http::verb::head;
+  this->takes_chunks = request.version() >= 11;
   co_return request;
 }
 
@@ -229,7 +238,10 @@
   this->answer_begun = true;
   response.version(11);
   response.keep_alive(this->keep_alive);
-  if (!this->is_head_request) {
+  if (HasNoBody(response.result())) {
+    response.body().clear();  // callers read no body, whatever length is stated
+    response.content_length(boost::none);
+  } else if (!this->is_head_request) {
     response.prepare_payload();
   }
   this->stream.expires_at(until);
@@ -262,10 +274,15 @@
   }
   this->keep_alive = this->keep_alive && !this->ClosesAfterAnswer();
   this->answer_begun = true;
+  this->sends_chunks = !this->is_head_request && !HasNoBody(head.result());
+  if (!this->takes_chunks && this->sends_chunks) {
+    this->gathered.emplace(std::move(head));
+    co_return true;
+  }
   net::http::response<net::http::empty_body> response(std::move(head));
   response.version(11);
   response.keep_alive(this->keep_alive);
-  response.chunked(true);
+  response.chunked(this->sends_chunks);
   net::http::response_serializer<net::http::empty_body> serializer(response);
   this->stream.expires_at(until);
   const auto [error, written] =
@@ -274,9 +291,15 @@
 }
 
 awaitable<bool> CallerSession::SendChunk(std::string bytes, net::SteadyTime until) {
-  if (bytes.empty()) {
+  if (bytes.empty() || !this->sends_chunks) {
     co_return true;  // a chunk without bytes is the last one
   }
+  if (this->gathered) {
+    this->gathered->body() += bytes;
+    this->request_bytes += bytes.size();
+    this->CountHeld();
+    co_return true;
+  }
   this->stream.expires_at(until);
   const auto chunk = net::http::make_chunk(net::asio::buffer(bytes));
   this->BeginWrite(bytes.capacity());
@@ -287,10 +310,17 @@
 }
 
 awaitable<bool> CallerSession::EndChunks(net::SteadyTime until) {
+  if (this->gathered) {
+    net::Response whole = *std::exchange(this->gathered, std::nullopt);
+    co_return co_await this->Send(std::move(whole), until);
+  }
   this->stream.expires_at(until);
-  const auto last = net::http::make_chunk_last();
-  const auto [error, written] =
-      co_await net::asio::async_write(this->stream, last, net::kAwaitWithError);
+  net::ErrorCode error;
+  if (this->sends_chunks) {
+    const auto last = net::http::make_chunk_last();
+    std::tie(error, std::ignore) =
+        co_await net::asio::async_write(this->stream, last, net::kAwaitWithError);
+  }
   if (error || !this->keep_alive) {
     this->is_open = false;
   }
--- a/src/gateway/tests/caller_session_test.cc
+++ b/src/gateway/tests/caller_session_test.cc
@@ -42,6 +42,36 @@
     }
   }
 
+  /// Reads a request and answers it with two chunks. @return what the caller has received before
+  /// the end of the answer, and in all.
+  std::pair<std::string, std::string> AnswerInChunks(const std::string& request,
+                                                     net::http::status status) {
+    std::string before_end;
+    asio::write(this->caller, asio::buffer(request));
+    asio::co_spawn(
+        this->loop,
+        [&]() -> asio::awaitable<void> {
+          const net::SteadyTime until = net::Now() + milliseconds(1000);
+          co_await this->session->ReadRequest([this] { return this->limits; });
+          net::http::response_header<> head;
+          head.result(status);
+          co_await this->session->BeginChunks(std::move(head), until);
+          co_await this->session->SendChunk("one,", until);
+          co_await this->session->SendChunk("two", until);
+          before_end = this->Received();
+          co_await this->session->EndChunks(until);
+        },
+        asio::detached);
+    this->loop.run_for(milliseconds(20));
+    return {before_end, before_end + this->Received()};
+  }
+
+  std::string Received() {
+    std::string received(this->caller.available(), '\0');
+    asio::read(this->caller, asio::buffer(received));
+    return received;
+  }
+
   /// Runs up to a number of ready handlers.
   void Step(int handlers) {
     for (int count = 0; count < handlers; ++count) {
@@ -153,5 +183,27 @@
   fixture.session->StopWatch();
 }
 
+// Guards against chunks in the body of a caller that knows none, and parts that look complete.
+TEST_CASE("an answer in chunks reaches an HTTP/1.0 caller whole and with a length") {
+  SessionFixture fixture;
+  const auto [before_end, all] =
+      fixture.AnswerInChunks("GET /x HTTP/1.0\r\n\r\n", net::http::status::ok);
+  CHECK(before_end.empty());
+  CHECK(all.find("Transfer-Encoding") == std::string::npos);
+  CHECK(all.find("Content-Length: 7\r\n") != std::string::npos);
+  CHECK(all.ends_with("\r\n\r\none,two"));
+}
+
+// Guards against bytes that the caller would take for the beginning of its next answer.
+TEST_CASE("an answer in chunks that has no body ends with its head") {
+  for (const char* request : {"HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n", kRequest}) {
+    SessionFixture fixture;
+    const auto status = request == kRequest ? net::http::status::no_content : net::http::status::ok;
+    const auto [before_end, all] = fixture.AnswerInChunks(request, status);
+    CHECK(all.ends_with("\r\n\r\n"));
+    CHECK(all.find("chunked") == std::string::npos);
+  }
+}
+
 }  // namespace
 }  // namespace lentilhead::gateway
