Bound the runs that confirm an end, and refuse no slow or varying answers for it

Change: an endpoint is asked again twice at most for a request, and not if the request may end endpoints; a confirmation may take twice the time of the run before it; an answer that can't be run again before the deadline is judged by the sign of life. Where contents differ, the endpoint that claimed the end is asked first. A shorter answer that is the beginning of an unconfirmed one is a failed attempt, framed or not.

Items asked another endpoint to confirm an end without bound: with one whose answers are always broken they never ended (stuttered_answers, a job not done within 25 s). After three attempts that tell nothing the endpoint that claimed the end is asked again, and endpoints that are suspected are not waited for.

A case of cut_records asked for the record of a body that a second answer has filled; the request may no longer be one that may run again, which is now run again.

--- a/src/gateway/internal/online_confirmation.cc
+++ b/src/gateway/internal/online_confirmation.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gateway/internal/answers.h"
 #include "gateway/internal/online_run.h"
 #include "gateway/types/body_relation.h"
@@ -8,6 +10,7 @@
 
 using net::asio::awaitable;
 using net::http::status;
+using std::chrono::milliseconds;
 
 /// Ids of all endpoints but one.
 std::vector<std::string> AllBut(const EndpointRegistry& registry, const std::string& endpoint) {
@@ -23,13 +26,24 @@
 }  // namespace
 
 void OnlineRun::NoteClaim() {
+  const net::SteadyTime now = net::Now();
   this->claimer = this->last_endpoint;
   this->is_claimer_asked = false;
-  this->confirm_until = net::Now() + kLongestConfirmation;
+  // Another run may take as long, and wait for a slot.
+  const milliseconds run_time = net::ToMilliseconds(now - this->attempt_start);
+  this->confirm_until = now + std::max(kLongestConfirmation, 2 * run_time);
+}
+
+bool OnlineRun::HasTimeToConfirm() const {
+  const net::SteadyTime now = net::Now();
+  return this->routed.deadline - now > now - this->attempt_start;
 }
 
 awaitable<OnlineRun::Step> OnlineRun::ConfirmBody(const EndpointLease& lease,
                                                   net::Response response) {
+  if (!this->unconfirmed && !this->HasTimeToConfirm()) {
+    co_return co_await this->DeliverWholeAnswer(std::move(response));
+  }
   const BodyRelation relation = this->unconfirmed
                                     ? RelationOf(this->unconfirmed->body(), response.body())
                                     : BodyRelation::kFirstIsCut;
@@ -37,12 +51,12 @@
     case BodyRelation::kSame:
       this->confirmation = kConfirmedEnd;
       co_return co_await this->DeliverWholeAnswer(std::move(response));
-    case BodyRelation::kVaries: {
-      this->confirmation = kVaryingEnd;
-      const bool is_longer = response.body().size() > this->unconfirmed->body().size();
-      net::Response longer = is_longer ? std::move(response) : std::move(*this->unconfirmed);
-      co_return co_await this->DeliverWholeAnswer(std::move(longer));
-    }
+    case BodyRelation::kVaries:
+      // The endpoint itself can tell whether its answer was cut.
+      if (!std::exchange(this->has_varied, true)) {
+        co_return Step::kUnconfirmed;
+      }
+      co_return co_await this->DeliverLonger(std::move(response));
     case BodyRelation::kFirstIsCut:
       this->unconfirmed = std::move(response);
       this->NoteClaim();
@@ -55,11 +69,22 @@
   co_return co_await this->AfterFailure(lease, kEndUnconfirmedCause);
 }
 
+awaitable<OnlineRun::Step> OnlineRun::DeliverLonger(net::Response response) {
+  this->confirmation = kVaryingEnd;
+  const bool is_longer = response.body().size() > this->unconfirmed->body().size();
+  net::Response longer = is_longer ? std::move(response) : std::move(*this->unconfirmed);
+  co_return co_await this->DeliverWholeAnswer(std::move(longer));
+}
+
 awaitable<OnlineRun::Step> OnlineRun::AskAgain() {
-  if (std::exchange(this->is_claimer_asked, true) || net::Now() >= this->AttemptLimit()) {
+  const bool may_ask = this->times_asked_again < kMaxTimesAskedAgain && this->may_send_again &&
+                       !this->is_claimer_asked && net::Now() < this->AttemptLimit();
+  if (!may_ask) {
     co_await this->EndUnconfirmed();
     co_return Step::kDone;
   }
+  this->is_claimer_asked = true;
+  ++this->times_asked_again;
   ChoiceRequest choice = this->MakeChoice();
   choice.excluded = AllBut(this->gateway.registry, this->claimer);
   choice.has_begun = true;
--- a/src/gateway/internal/online_delivery.cc
+++ b/src/gateway/internal/online_delivery.cc
@@ -2,6 +2,7 @@
 
 #include "gateway/internal/answers.h"
 #include "gateway/internal/online_run.h"
+#include "gateway/types/body_relation.h"
 #include "platform/request_codec.h"
 
 namespace lentilhead::gateway::internal {
@@ -85,7 +86,10 @@
   this->work.RecordAnswer(lease, net::Now());
   const bool must_be_confirmed = this->NeedsConfirmation(answer, body);
   net::Response response(platform::EncodeAnswerHead(answer.head), std::move(body.bytes));
-  if (!must_be_confirmed) {
+  const bool is_contradicted =
+      this->unconfirmed &&
+      RelationOf(this->unconfirmed->body(), response.body()) == BodyRelation::kSecondIsCut;
+  if (!must_be_confirmed && !is_contradicted) {
     co_return co_await this->DeliverWholeAnswer(std::move(response));
   }
   co_return co_await this->ConfirmBody(lease, std::move(response));
--- a/src/gateway/internal/online_run.h
+++ b/src/gateway/internal/online_run.h
@@ -56,8 +56,10 @@
   static constexpr std::string_view kVaryingEnd = "varying";
   /// Longest wait for a slot at an endpoint that is to confirm the end of an answer.
   static constexpr std::chrono::milliseconds kConfirmationWait{200};
-  /// Longest time in which a second endpoint confirms an answer. It is shorter than the 2 s after
-  /// which callers drop a silent stream.
+  /// Bounds the runs of a request whose answers keep contradicting each other.
+  static constexpr int kMaxTimesAskedAgain = 2;
+  /// Time in which a second endpoint confirms an answer, if it takes no longer to run. It is
+  /// shorter than the 2 s after which callers drop a silent stream.
   static constexpr std::chrono::milliseconds kLongestConfirmation{1800};
   /// Until a request that has begun is sent again after every endpoint refused or failed.
   static constexpr std::chrono::milliseconds kRepeatPause{100};
@@ -106,6 +108,10 @@
   [[nodiscard]] net::SteadyTime AttemptLimit() const;
   /// Records that the last endpoint claims the end of an answer, which is to be confirmed.
   void NoteClaim();
+  /// Whether another run of the request may end before its deadline.
+  [[nodiscard]] bool HasTimeToConfirm() const;
+  /// Passes on the longer one of two bodies of content that varies from run to run.
+  net::asio::awaitable<Step> DeliverLonger(net::Response response);
   /// Passes a body without framing on if it confirms the one before, or is confirmed by it.
   net::asio::awaitable<Step> ConfirmBody(const EndpointLease& lease, net::Response response);
   /// Lets the endpoint that claimed the end confirm it by another answer: an end that was caused by
@@ -205,8 +211,10 @@
   net::SteadyTime confirm_until;  ///< time limit of attempts that confirm an answer
   /// Answer without framing that no other endpoint has confirmed yet.
   std::optional<net::Response> unconfirmed;
-  std::string claimer;                ///< endpoint that sent the answer whose end is not confirmed
-  bool is_claimer_asked = false;      ///< to confirm that end itself
+  std::string claimer;            ///< endpoint that sent the answer whose end is not confirmed
+  bool is_claimer_asked = false;  ///< to confirm that end itself
+  int times_asked_again = 0;
+  bool has_varied = false;            ///< two answers had different content
   bool was_confirmation_cut = false;  ///< an answer that was to confirm an end was shorter
   net::SteadyTime first_event;
   net::SteadyTime attempt_start;  ///< of the last attempt
--- a/src/gateway/types/end_claims.h
+++ b/src/gateway/types/end_claims.h
@@ -45,15 +45,23 @@
            this->endpoints.end();
   }
 
+  /// Records an attempt that neither confirmed the claims nor contradicted them.
+  void RecordNoAnswer() { this->unanswered += this->endpoints.empty() ? 0 : 1; }
+
+  /// Number of such attempts since the first claim.
+  [[nodiscard]] int Unanswered() const { return this->unanswered; }
+
   /// Drops the claims: a further event was received.
   void Clear() {
     this->endpoints.clear();
     this->is_without_framing = false;
+    this->unanswered = 0;
   }
 
  private:
   std::vector<std::string> endpoints;  ///< that claim the end, in the order of their claims
   bool is_without_framing = false;
+  int unanswered = 0;
 };
 
 }  // namespace lentilhead::gateway
--- a/src/jobs/internal/item_runner.cc
+++ b/src/jobs/internal/item_runner.cc
@@ -27,6 +27,9 @@
 // A route that is missing for longer has been removed; a single version of the configuration may
 // lack it by mistake.
 constexpr milliseconds kRouteGracePeriod{3000};
+// Attempts at other endpoints that fail to confirm the end of an item, before the one that claimed
+// it is asked again. The item would never end where all others are broken.
+constexpr int kMaxUnansweredClaims = 3;
 
 /// Whether an attempt completed an item by an answer that states its own end.
 bool IsRoutine(ItemRunOutcome outcome, const ItemRunReport& report) {
@@ -52,10 +55,15 @@
 
 bool JobService::ListsOtherEndpoint(const gateway::EndClaims& claims,
                                     const std::string& service) const {
+  if (claims.Unanswered() >= kMaxUnansweredClaims) {
+    return false;
+  }
   const auto& endpoints = this->gateway.registry.All();
+  const net::SteadyTime now = net::Now();
   return std::any_of(endpoints.begin(), endpoints.end(), [&](const auto& endpoint) {
     const auto& [id, state] = endpoint;
-    return state->entry.service == service && state->in_group && state->listed &&
+    const bool is_suspect = now < state->suspect_until || state->ejected;
+    return state->entry.service == service && state->in_group && state->listed && !is_suspect &&
            !state->is_leaving && !state->entry.is_draining && !claims.HasClaimed(id);
   });
 }
@@ -273,7 +281,9 @@
     co_return;
   }
   progress.phase = ItemPhase::kWaiting;
-  if (IsEndClaim(progress, outcome)) {
+  if (!IsEndClaim(progress, outcome)) {
+    progress.end_claims.RecordNoAnswer();
+  } else {
     outcome = this->AfterEndClaim(progress, entry, outcome);
   }
   if (!BeginsAnew(outcome)) {
