--- a/src/gateway/internal/online_confirmation.cc
+++ b/src/gateway/internal/online_confirmation.cc
@@ -29,9 +29,12 @@
   const net::SteadyTime now = net::Now();
   this->claimer = this->last_endpoint;
   this->is_claimer_asked = false;
-  // Another run may take as long, and wait for a slot.
-  const milliseconds run_time = net::ToMilliseconds(now - this->attempt_start);
-  this->confirm_until = now + std::max(kLongestConfirmation, 2 * run_time);
+  this->confirm_until = now + kLongestConfirmation;
+  if (!this->stream_begun) {
+    // Another run may take as long, and wait for a slot; what is left of a stream does not.
+    const milliseconds run_time = net::ToMilliseconds(now - this->attempt_start);
+    this->confirm_until = std::max(this->confirm_until, now + 2 * run_time);
+  }
 }
 
 bool OnlineRun::HasTimeToConfirm() const {
